--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,357 @@
+//! The interface of the decision module: settings, events and actions.
+//!
+//! All times are milliseconds on the host's clock, which only moves forward.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// The name of a server or a customer. Nothing is read from it but whether two are equal.
+pub type Name = Arc<str>;
+
+/// Whether a request may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Effect {
+    /// A repeat does no harm.
+    Safe,
+    /// Servers of one group drop repeats within the class's window.
+    Keyed(Group),
+    /// A repeat would take effect again.
+    #[default]
+    Unsafe,
+}
+
+/// The servers that drop repeats of each other's keyed requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// All servers.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, Default)]
+pub struct Class {
+    /// What an answer is worth, before the plan's price.
+    pub worth: f64,
+    /// An answer within this time earns the full worth.
+    pub aim: f64,
+    /// The share of the worth that a later answer earns.
+    pub late_worth: f64,
+    /// Whether it may be repeated.
+    pub effect: Effect,
+    /// For keyed classes: how long repeats are dropped after the first send that may have run.
+    pub window: f64,
+}
+
+/// A plan: quotas of each of its customers, over all gateways together.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    /// Units a second; 0 means no quota on the rate.
+    pub rate: f64,
+    /// The most units the customer's store holds.
+    pub burst: f64,
+    /// Attempts out at once; 0 means no such quota.
+    pub open: u32,
+    /// A factor on the worth.
+    pub price: f64,
+    /// The share of its worth that a try sent on beyond the quota costs.
+    pub over_cost: f64,
+    /// Units a second of the hard ceiling; 0 means none.
+    pub ceiling_rate: f64,
+    /// The most units the ceiling's store holds.
+    pub ceiling_burst: f64,
+    /// How far below nothing the ceiling's store may go.
+    pub ceiling_slack: f64,
+}
+
+/// What a gateway is told at its start.
+#[derive(Debug, Clone, Default)]
+pub struct Settings {
+    /// This gateway's number, from 0.
+    pub me: u32,
+    /// How many gateways there are.
+    pub gateways: u32,
+    /// The zone this gateway stands in.
+    pub zone: u32,
+    /// The classes, by number.
+    pub classes: Vec<Class>,
+    /// The plans, by number.
+    pub plans: Vec<Plan>,
+    /// The most attempts for one request; 0 means no limit.
+    pub max_attempts: u32,
+    /// Whether gateways may send each other notes.
+    pub notes: bool,
+    /// The most units that a request counts.
+    pub largest: f64,
+    /// How many notes a second a gateway takes in.
+    pub note_intake: f64,
+    /// The least share of its capacity a server starts with.
+    pub cold_from: f64,
+    /// A server is warm no later than this after its start.
+    pub warm_within: f64,
+}
+
+impl Settings {
+    /// Whether the settings can be acted on.
+    ///
+    /// # Errors
+    /// When they hold a figure that cannot be acted on.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let bad = |what: &str| Err(SettingsError(what.to_string()));
+        let sound = |x: f64| x.is_finite() && x >= 0.0;
+        if self.classes.is_empty() || self.gateways == 0 {
+            return bad("at least one class and one gateway are needed");
+        }
+        for c in &self.classes {
+            if !(sound(c.worth) && sound(c.late_worth) && sound(c.window) && sound(c.aim) && c.aim > 0.0) {
+                return bad("a class has a negative or endless figure, or no aim");
+            }
+            if matches!(c.effect, Effect::Keyed(_)) && c.window <= 0.0 {
+                return bad("a keyed class has a window of nothing");
+            }
+        }
+        for p in &self.plans {
+            let figures =
+                [p.rate, p.burst, p.price, p.over_cost, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack];
+            if !figures.into_iter().all(sound) || (p.rate > 0.0 && p.burst <= 0.0) {
+                return bad("a plan has a negative or endless figure, or a rate without a burst");
+            }
+        }
+        if ![self.note_intake, self.cold_from, self.warm_within].into_iter().all(sound) {
+            return bad("a bound or rule is negative or endless");
+        }
+        Ok(())
+    }
+}
+
+/// Why settings cannot be acted on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What the list says of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Health {
+    /// Its process runs.
+    #[default]
+    Up,
+    /// It finishes its work and takes nothing new.
+    Draining,
+    /// It has been taken away.
+    Gone,
+}
+
+/// A line of the server list.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its name.
+    pub name: Name,
+    /// Its zone.
+    pub zone: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// What kind of machine it is; machines of a kind are alike in speed.
+    pub kind: u32,
+    /// Its registered size, to compare with others'.
+    pub size: f64,
+    /// What the list says of it.
+    pub health: Health,
+    /// When it last started; 0 means long ago.
+    pub since: f64,
+}
+
+/// What a list event holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// Every server there is; one not named is gone.
+    Complete,
+    /// Only those that changed.
+    Changes,
+}
+
+/// A request that came in.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Its id, never used twice.
+    pub id: u64,
+    /// Whose it is.
+    pub customer: Name,
+    /// Its class.
+    pub class: usize,
+    /// The customer's plan.
+    pub plan: usize,
+    /// The units it counts.
+    pub units: f64,
+    /// The first gateway of the customer's set.
+    pub first: u32,
+    /// How many gateways the set has, counted round from the first.
+    pub spread: u32,
+    /// When the client leaves.
+    pub give_up: f64,
+    /// Whether the client says it tries again.
+    pub repeat: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Served.
+    Ok,
+    /// The server answered with an error; it may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have run.
+    Timeout,
+    /// No connection; it never ran.
+    Unreachable,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+/// A server's own word on its load; what it does not report is absent.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Report {
+    /// Requests it holds.
+    pub in_flight: Option<f64>,
+    /// How busy its cores are, 0 to 1.
+    pub busy: Option<f64>,
+    /// Requests a second it serves.
+    pub served: Option<f64>,
+}
+
+/// How one attempt ended, and what came with the answer.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// The request.
+    pub id: u64,
+    /// The attempt's number, from 0.
+    pub attempt: u32,
+    /// The server.
+    pub server: Name,
+    /// How it ended.
+    pub ending: Ending,
+    /// How long it was out.
+    pub latency: f64,
+    /// Whether the request has ended too.
+    pub last: bool,
+    /// The customer's metered use over all gateways, as a share of its rate or open cap.
+    pub metered: Option<f64>,
+    /// The true units, where the request's were a guess.
+    pub units: Option<f64>,
+    /// The server's load report.
+    pub report: Option<Report>,
+}
+
+/// What a gateway sees.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// News of the servers.
+    Servers {
+        /// Whether all of them or only changes.
+        listing: Listing,
+        /// The lines.
+        servers: Vec<Server>,
+    },
+    /// A request came in.
+    Request(Request),
+    /// An attempt ended.
+    Outcome(Outcome),
+    /// The client left; the request has ended.
+    Left {
+        /// The request.
+        id: u64,
+    },
+    /// What a probe found.
+    Probed {
+        /// The server.
+        server: Name,
+        /// Whether it answered well.
+        ok: bool,
+        /// Its load report.
+        report: Option<Report>,
+    },
+    /// A note from another gateway.
+    Note {
+        /// Its number.
+        from: u32,
+        /// What it says.
+        text: String,
+    },
+    /// A timer came due.
+    Timer {
+        /// The token it was set with.
+        token: u64,
+    },
+}
+
+/// What a gateway does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Starts an attempt.
+    Send {
+        /// The request.
+        id: u64,
+        /// The server.
+        server: Name,
+        /// When to abandon the attempt.
+        not_past: f64,
+    },
+    /// The final answer "not now; trying again is harmless".
+    Refuse {
+        /// The request.
+        id: u64,
+        /// How long the client should keep away; 0 gives no advice.
+        pause: f64,
+    },
+    /// The final answer "failed", which promises nothing.
+    Fail {
+        /// The request.
+        id: u64,
+    },
+    /// Calls one attempt off.
+    Cancel {
+        /// The request.
+        id: u64,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// Probes a server.
+    Probe {
+        /// The server.
+        server: Name,
+    },
+    /// Sends a note to another gateway.
+    Tell {
+        /// Its number.
+        to: u32,
+        /// At most 256 bytes.
+        text: String,
+    },
+    /// Asks for a timer event.
+    SetTimer {
+        /// Comes back with the event.
+        token: u64,
+        /// How far from now.
+        after: f64,
+    },
+    /// A line for the host's log.
+    Log {
+        /// The line.
+        text: String,
+    },
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,895 @@
+//! Every decision of a gateway, in the order a request meets them: the customer's bucket and
+//! ceiling, the throttle, the choice of server, further attempts. Types: `src/api.rs`.
+//!
+//! The mechanism: a request is refused at once with the chance
+//! max(0, (requests - K accepts) / (requests + 1)), counted per tier over a sliding window, after
+//! a bucket per customer that fills at the quota times this gateway's part of recent demand.
+
+use crate::api::*;
+use crate::note::{Item, key_of};
+use crate::state::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How many times the accepts may be sent on: with success under 1/K all but the minimum is refused.
+const K: f64 = 2.0;
+/// The throttle's window: so many slots, each of `SLOT` ms and `SLOT_LEAST` requests, or of
+/// `SLOT_LONGEST` ms. One of many gateways sees few, and a chance made of a handful is noise.
+const SLOTS: usize = 10;
+const SLOT: f64 = 300.0;
+const SLOT_LEAST: u32 = 4;
+const SLOT_LONGEST: f64 = 3000.0;
+/// A tier passes this many a second for each server, from all gateways together, whatever the
+/// chance, so that recovery is seen: a minimum for each gateway would add up to an overload.
+const MIN_RATE: f64 = 0.15;
+/// Worth times price below this part of a tier's best begins the next tier.
+const TIER_STEP: f64 = 0.7;
+/// The wait foreseen at a server may be this part of the aim, as answers scatter widely around it; with
+/// many gateways, which can only guess at a server's load, half as much again.
+const ROOM: f64 = 0.19;
+/// A request whose customer has all its places taken may wait this part of its aim for one.
+const WAIT: f64 = 0.5;
+/// Demand is remembered for about this long: to count slow customers and to follow those that move.
+const DEMAND_MS: f64 = 2000.0;
+/// What a keeper told fades over this time.
+const FADE_MS: f64 = 2000.0;
+/// A keeper's silence past this part of the request's aim means that it is stalled or gone.
+const ASK_PART: f64 = 0.3;
+/// So many times what the keeper granted, or can grant, is asked for; the rest is refused at once.
+const ASK_MORE: f64 = 1.5;
+/// Up to so many gateways fill their notes with many items, and one keeper can take them in.
+const FEW: u32 = 16;
+/// The part of a gateway's intake that the units of one customer may take; above, it has more keepers.
+const KEEPER_PART: f64 = 0.35;
+/// A gateway asks for its own demand of this time at once, so that most requests need not wait.
+const STOCK_MS: f64 = 400.0;
+/// Units told after the fact may wait this long for a note that goes anyway.
+const TELL_MS: f64 = 1000.0;
+/// A place not given back within so many usual answer times and a little is taken for lost.
+const LEASE: f64 = 6.0;
+/// The part of the peers' intake that notes may fill, a tenth of a second's at one stroke.
+const INTAKE_PART: f64 = 0.75;
+const NOTE_BYTES: usize = 256;
+/// Customers not seen for this long are forgotten: by then every bucket is full again.
+const IDLE_MS: f64 = 60_000.0;
+/// How much one answer moves what is known of a server's speed and of its failures.
+const LEARN: f64 = 0.04;
+/// What is known of a server's speed grows old over this time.
+const PACE_MS: f64 = 20_000.0;
+/// The part of what this gateway has out at a server now that its peers are taken to have there, and
+/// the most peers this is held of: what one of hundreds has out says nothing of the others' part.
+const ALIKE: f64 = 0.5;
+const ALIKE_PEERS: f64 = 3.0;
+/// A request looks at so many servers with room at the least, at more where each gateway knows more.
+const LOOK: f64 = 2.0;
+/// A load report is worth less and less over this time.
+const REPORT_MS: f64 = 1000.0;
+/// The same for a server that is thought to have room for nothing: it is seldom asked.
+const LEARN_SLOW: f64 = 0.3;
+/// The same for what is known of all servers; the first answers count alike.
+const LEARN_ALL: f64 = 0.02;
+/// How much one report moves what is known of the load at all servers.
+const LEARN_REPORT: f64 = 0.1;
+/// The mean in flight over all servers is taken over this many times as long where gateways are many.
+const FLEET_TIMES: f64 = 5.0;
+/// A server's failures are forgotten over this time, so that it is tried again.
+const FAIL_MS: f64 = 4000.0;
+/// Requests in flight at a server beside one's own that make its answer take twice as long.
+const SIDE_BY_SIDE: f64 = 2.0;
+/// Further attempts earned by each request, and the most that are saved up.
+const RETRY_PART: f64 = 0.15;
+const RETRY_MOST: f64 = 10.0;
+/// A cold server gets this part of what its share of capacity would allow it.
+const COLD_PART: f64 = 0.9;
+/// How long a server without room rests, for each gateway, before one request looks again.
+const PEEK_MS: f64 = 250.0;
+const TICK: u64 = 1;
+
+impl Live {
+    /// Keeps the mean number of this gateway's requests here over time. Called before it changes.
+    fn average(&mut self, now: f64) {
+        self.usual = self.usual_now(now);
+        self.usual_at = now;
+    }
+
+    fn usual_now(&self, now: f64) -> f64 {
+        let kept = (-(now - self.usual_at) / DEMAND_MS).exp();
+        self.usual * kept + self.out.len() as f64 * (1.0 - kept)
+    }
+}
+
+/// The decisions of one gateway.
+pub struct Control {
+    cfg: Settings,
+    rng: Pcg64Mcg,
+    now: f64,
+    customers: BTreeMap<u64, Customer>,
+    post: Post,
+    servers: BTreeMap<Name, Live>,
+    held: BTreeMap<u64, Held>,
+    waits: BTreeMap<u64, Job>,
+    asks: u64,
+    fleet: Fleet,
+    tier_of: Vec<Vec<usize>>,
+    counts: Vec<Vec<(f64, f64)>>,
+    slot: usize,
+    slot_at: f64,
+    slot_count: u32,
+    passed: Vec<f64>,
+    retries: f64,
+    swept: f64,
+    room: f64,
+    actions: Vec<Action>,
+}
+
+/// How much longer an answer takes with so many others in flight.
+fn slowdown(others: f64) -> f64 {
+    1.0 + others / SIDE_BY_SIDE
+}
+
+/// Moves a known time part of the way to a new one, by ratio: a few answers of many times the usual
+/// work must not make a whole class or server look slow, as they would in a plain mean.
+fn toward(known: f64, new: f64, part: f64) -> f64 {
+    known * (new / known).powf(part)
+}
+
+impl Control {
+    /// A gateway that has just started and knows nothing yet.
+    ///
+    /// # Errors
+    /// When the settings hold a figure that cannot be acted on.
+    pub fn new(cfg: Settings, seed: u64) -> Result<Self, SettingsError> {
+        cfg.check()?;
+        let value = |c: &Class, p: &Plan| c.worth * p.price;
+        let mut values: Vec<f64> =
+            cfg.classes.iter().flat_map(|c| cfg.plans.iter().map(move |p| value(c, p))).collect();
+        values.sort_by(|a, b| b.total_cmp(a));
+        let mut tops: Vec<f64> = Vec::new();
+        for v in values {
+            if tops.last().is_none_or(|top| v < TIER_STEP * top) {
+                tops.push(v);
+            }
+        }
+        let tier = |v: f64| tops.iter().rposition(|top| v <= *top).unwrap_or(0);
+        let tier_of =
+            cfg.classes.iter().map(|c| cfg.plans.iter().map(|p| tier(value(c, p))).collect()).collect();
+        let tiers = tops.len().max(1);
+        Ok(Control {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: 0.0,
+            customers: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            held: BTreeMap::new(),
+            waits: BTreeMap::new(),
+            asks: 0,
+            post: Post::default(),
+            fleet: Fleet { class_pace: vec![0.0; cfg.classes.len()], ..Fleet::default() },
+            tier_of,
+            counts: vec![vec![(0.0, 0.0); tiers]; SLOTS],
+            slot: 0,
+            slot_at: 0.0,
+            slot_count: 0,
+            passed: vec![f64::NEG_INFINITY; tiers],
+            retries: RETRY_MOST,
+            swept: 0.0,
+            room: ROOM * (1.5 - 0.5 * (ALIKE_PEERS / f64::from(cfg.gateways)).min(1.0)),
+            actions: Vec::new(),
+            cfg,
+        })
+    }
+
+    /// Takes one event and gives what is to be done, in that order.
+    pub fn handle(&mut self, now: f64, event: Event) -> Vec<Action> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Servers { listing, servers } => self.on_servers(listing, servers),
+            Event::Request(request) => self.on_request(request),
+            Event::Outcome(outcome) => self.on_outcome(&outcome),
+            Event::Left { id } => self.on_left(id),
+            Event::Note { from, text } => self.on_note(from, &text),
+            Event::Timer { token: TICK } => self.post.tick_at = None,
+            Event::Timer { token } => self.on_waited(token.saturating_sub(TICK)),
+            Event::Probed { .. } => {}
+        }
+        self.flush();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn on_servers(&mut self, listing: Listing, lines: Vec<Server>) {
+        if listing == Listing::Complete {
+            let named: BTreeSet<&Name> = lines.iter().map(|s| &s.name).collect();
+            for (name, s) in &mut self.servers {
+                if !named.contains(name) {
+                    s.health = Health::Gone;
+                }
+            }
+        }
+        for line in lines {
+            let now = self.now;
+            let s = self.servers.entry(line.name).or_insert_with(|| Live {
+                since: line.since,
+                sent_at: now,
+                kind: line.kind,
+                ..Live::default()
+            });
+            if line.since > s.since {
+                // A new life: what was learned of the former one no longer holds.
+                (s.pace, s.usual, s.reported, s.fail) = (None, 0.0, None, 0.0);
+            }
+            (s.zone, s.cell, s.health, s.since) = (line.zone, line.cell, line.health, line.since);
+        }
+        self.servers.retain(|_, s| s.health != Health::Gone || !s.out.is_empty());
+    }
+
+    // ---- a request: bucket, ceiling, throttle, server ----
+
+    fn on_request(&mut self, request: Request) {
+        let (id, now, me, all) = (request.id, self.now, self.cfg.me, self.cfg.gateways);
+        let tier = self.tier_of.get(request.class).and_then(|row| row.get(request.plan)).copied();
+        let Some(tier) = tier else { return self.refuse(id) };
+        self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
+        let key = key_of(&request.customer);
+        let plan = self.cfg.plans[request.plan].clone();
+        let spread = if request.spread == 0 { all } else { request.spread.min(all) };
+        let which = key + u64::from(me % self.keepers(request.plan));
+        let keeper = (request.first + (which % u64::from(spread)) as u32) % all;
+        let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
+        let took = self.fleet.took.max(1.0);
+        let c = self.customer(key, name);
+        let (ms, n) = (now - c.slice_at, f64::from(spread));
+        c.slice_at = now;
+        c.ceiling = (c.ceiling + plan.ceiling_rate / n * ms / 1000.0)
+            .min((plan.ceiling_burst + plan.ceiling_slack) / n);
+        c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
+        if plan.ceiling_rate > 0.0 && c.ceiling < units {
+            return self.refuse(id);
+        }
+        // The throttle's own rule, on what was asked of the keeper and what it granted.
+        let (at, demand, granted, _) = c.told.unwrap_or((f64::NEG_INFINITY, 0.0, 0.0, 0.0));
+        let demand = demand * (-(now - at) / FADE_MS).exp();
+        // What quota and places let through is asked for in any case: else grants would sink further.
+        let shared = plan.open > 0 && plan.open < spread;
+        c.slots = if plan.open > 0 && !shared { plan.open / spread } else { u32::MAX };
+        let places = if shared { f64::from(plan.open) * units * 1000.0 / took } else { f64::INFINITY };
+        let holds = places.min(if plan.rate > 0.0 { plan.rate } else { f64::INFINITY });
+        let chance = 1.0 - ((demand - ASK_MORE * granted.max(holds)) / (demand + units)).max(0.0);
+        let weight = units / chance;
+        c.own = c.own * (-(now - c.own_at) / DEMAND_MS).exp() + units * 1000.0 / DEMAND_MS;
+        c.own_at = now;
+        let ample = !shared && c.stock >= units;
+        c.stock -= if ample { units } else { 0.0 };
+        c.credit += chance;
+        if keeper != me && !ample && c.credit < 1.0 {
+            return self.refuse(id);
+        }
+        c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
+        c.untold += weight;
+        let mut extra = c.own * STOCK_MS / 1000.0 - c.stock;
+        if shared || keeper == me || extra < units || now - c.asked_at < STOCK_MS / 4.0 {
+            extra = 0.0;
+        }
+        // A repeat may have little of its client's time left: never wait past half of it.
+        let most = (WAIT * aim).min((request.give_up - now).max(0.0) / 2.0);
+        self.asks += 1;
+        let number = self.asks;
+        let ask = Ask { from: me, number, units, extra: 0.0, shared, until: now + most };
+        let place = Some(number);
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        let mut job =
+            Job { request, key, keeper, tier, arrived: now, number, place, until: ask.until, queued: true };
+        if keeper == me {
+            return match self.asked(key, name, ask, units).0 {
+                Word::Grant => self.admit(job),
+                Word::Deny => self.refuse(id),
+                Word::Wait => self.wait(job),
+            };
+        }
+        let weight = c.untold;
+        if self.cfg.notes && (!ample || extra > 0.0) {
+            let ask = Ask { units: if ample { 0.0 } else { units }, extra, ..ask };
+            c.untold = 0.0;
+            c.asked_at = if extra > 0.0 { now } else { c.asked_at };
+            self.note(keeper, key, 0.0, Item::Ask { plan: name, ask, weight });
+        }
+        if ample {
+            job.place = None;
+            return self.admit(job);
+        }
+        job.until = now + if self.cfg.notes { (ASK_PART * aim).min(most / 2.0) } else { 0.0 };
+        (job.queued, job.place) = (false, None);
+        self.wait(job);
+    }
+
+    fn refuse(&mut self, id: u64) {
+        self.actions.push(Action::Refuse { id, pause: 0.0 });
+    }
+
+    fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
+        let p = &self.cfg.plans[plan];
+        let (now, credit) = (self.now, self.rng.random::<f64>());
+        // The ceiling's slice is empty at the start: a former life of this gateway may have spent it.
+        let c = self.customers.entry(key).or_insert_with(|| Customer {
+            plan,
+            at: now,
+            level: p.burst,
+            credit,
+            asked_at: f64::NEG_INFINITY,
+            slots: u32::MAX,
+            slice: p.burst,
+            slice_at: now,
+            ..Customer::default()
+        });
+        c.seen = now;
+        c
+    }
+
+    fn wait(&mut self, job: Job) {
+        let after = (job.until - self.now).max(0.0);
+        self.actions.push(Action::SetTimer { token: TICK + job.number, after });
+        self.waits.insert(job.number, job);
+    }
+
+    /// A wait has come to its end. With a silent keeper the request goes on by what is known here.
+    fn on_waited(&mut self, number: u64) {
+        if self.waits.get(&number).is_none_or(|w| self.now + 0.1 < w.until) {
+            return;
+        }
+        let Some(w) = self.waits.remove(&number) else { return };
+        let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
+        let lot = self.rng.random::<f64>();
+        let passes = !w.queued
+            && self.customers.get_mut(&w.key).is_some_and(|c| {
+                let units = c.told.map_or(c.slice > 0.0, |(_, demand, granted, _)| lot * demand <= granted);
+                c.slice -= w.request.units;
+                units && (open <= 0.0 || f64::from(c.open) < open.max(1.0))
+            });
+        if passes {
+            return self.admit(w);
+        }
+        if w.queued && self.customers.get(&w.key).is_some_and(|c| c.slots < u32::MAX) {
+            self.spare(w.key, w.keeper, w.request.units, w.place);
+        }
+        self.refuse(w.request.id);
+    }
+
+    /// A request with room in its quota: a place of this gateway's own, the throttle, then a server.
+    fn admit(&mut self, mut job: Job) {
+        if self.customers.get(&job.key).is_some_and(|c| c.open >= c.slots) {
+            job.until = job.arrived + WAIT * self.cfg.classes[job.request.class].aim;
+            job.until = job.until.min((job.arrived + job.request.give_up) / 2.0);
+            job.queued = true;
+            let before = self.waits.values().filter(|w| w.key == job.key && w.queued).count();
+            let slots = self.customers.get(&job.key).map_or(1, |c| c.slots);
+            if self.now + self.fleet.took * (before + 1) as f64 / f64::from(slots) <= job.until {
+                return self.wait(job);
+            }
+            self.spare(job.key, job.keeper, job.request.units, job.place);
+            return self.refuse(job.request.id);
+        }
+        let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
+        // Asked again here: others of its customer may have been sent on while it waited.
+        let ceiling = self.cfg.plans[plan].ceiling_rate;
+        let above = ceiling > 0.0 && self.customers.get(&job.key).is_none_or(|c| c.ceiling < units);
+        let most = self.room * self.cfg.classes[job.request.class].aim;
+        let passes = !above && !self.throttled(job.tier);
+        let chosen = if passes { self.choose(job.request.class, most, None, None) } else { None };
+        let Some(server) = chosen else {
+            // A client's own repeat that is refused here was counted with its first try.
+            if !job.request.repeat && !above {
+                self.count(job.tier, false);
+            }
+            if job.place.is_some() || job.queued {
+                self.spare(job.key, job.keeper, units, job.place);
+            }
+            return self.refuse(id);
+        };
+        if let Some(c) = self.customers.get_mut(&job.key) {
+            c.ceiling -= units;
+            c.open += 1;
+        }
+        let held = Held { job, attempts: 0, ended: false, sent_at: self.now, load: 0.0, may_run: None };
+        self.held.insert(id, held);
+        self.send(id, server);
+    }
+
+    /// How many keepers a customer's units are parted between, each for its part of the gateways.
+    fn keepers(&self, plan: usize) -> u32 {
+        let plan = &self.cfg.plans[plan];
+        let requests = 2.0 * plan.rate / (1.0 + self.cfg.largest.max(1.0));
+        let many = ASK_MORE * requests / (KEEPER_PART * self.cfg.note_intake.max(1.0));
+        if plan.open > 0 { 1 } else { (many.ceil() as u32).clamp(1, 1 + self.cfg.gateways / FEW) }
+    }
+
+    /// Brings a kept store up to now.
+    fn refill(&mut self, key: u64) {
+        let Some(plan) = self.customers.get(&key).map(|c| c.plan) else { return };
+        let parts = f64::from(self.keepers(plan));
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        let plan = &self.cfg.plans[c.plan];
+        let ms = self.now - c.at;
+        c.at = self.now;
+        c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
+        c.demand *= (-ms / DEMAND_MS).exp();
+        c.granted *= (-ms / DEMAND_MS).exp();
+        while c.out.front().is_some_and(|(_, at)| self.now - at > LEASE * (self.fleet.took + 20.0)) {
+            c.out.pop_front();
+        }
+    }
+
+    /// A gateway asks for a request's units and place. Granted ones are taken at once.
+    fn asked(&mut self, key: u64, plan: usize, ask: Ask, weight: f64) -> (Word, f64) {
+        self.customer(key, plan);
+        self.refill(key);
+        let (now, took) = (self.now, self.fleet.took);
+        let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
+        let plan = &self.cfg.plans[c.plan];
+        c.demand += weight * 1000.0 / DEMAND_MS;
+        let inside = plan.rate <= 0.0 || c.level >= ask.units;
+        let free = !ask.shared || (c.out.len() < plan.open as usize && c.queue.is_empty());
+        if inside && free {
+            // Of what is left beside, half at the most: others ask too.
+            let units = ask.units + ask.extra.min((c.level - ask.units) / 2.0).max(0.0);
+            c.level -= units;
+            c.granted += units * 1000.0 / DEMAND_MS;
+            if ask.shared {
+                c.out.push_back(((ask.from, ask.number), now));
+            }
+            return (Word::Grant, units);
+        }
+        let wait = took * (c.queue.len() + 1) as f64 / f64::from(plan.open.max(1));
+        if inside && !free && now + wait <= ask.until {
+            c.queue.push_back(ask);
+            return (Word::Wait, 0.0);
+        }
+        (Word::Deny, 0.0)
+    }
+
+    /// A gateway tells of units sent on unasked, or given back, of demand and of places given back.
+    fn told(&mut self, key: u64, plan: usize, units: f64, place: Option<(u32, u64)>) {
+        self.customer(key, plan);
+        self.refill(key);
+        let now = self.now;
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        let plan = &self.cfg.plans[c.plan];
+        c.level = (c.level - units).clamp(-plan.burst, plan.burst);
+        c.out.retain(|(id, _)| Some(*id) != place);
+        let mut granted = Vec::new();
+        while c.out.len() < plan.open as usize {
+            let Some(ask) = c.queue.pop_front() else { break };
+            if ask.until > now && (plan.rate <= 0.0 || c.level >= ask.units) {
+                c.level -= ask.units;
+                c.granted += ask.units * 1000.0 / DEMAND_MS;
+                c.out.push_back(((ask.from, ask.number), now));
+                granted.push(ask);
+            }
+        }
+        granted.iter().for_each(|ask| self.answer(key, ask, Word::Grant, ask.units));
+    }
+
+    fn answer(&mut self, key: u64, ask: &Ask, word: Word, units: f64) {
+        if ask.from == self.cfg.me {
+            return self.answered(key, ask.from, ask.number, word, units);
+        }
+        let Some(c) = self.customers.get(&key) else { return };
+        let (Ask { from, number, .. }, demand, granted, level) = (*ask, c.demand, c.granted, c.level);
+        self.note(from, key, 0.0, Item::Answer { number, word, units, demand, granted, level });
+    }
+
+    fn answered(&mut self, key: u64, keeper: u32, number: u64, word: Word, units: f64) {
+        match (self.waits.remove(&number), word) {
+            (Some(w), Word::Grant) => {
+                self.spare(key, keeper, units - w.request.units, None);
+                self.admit(Job { place: Some(number), ..w });
+            }
+            (Some(w), Word::Deny) => self.refuse(w.request.id),
+            (Some(mut w), Word::Wait) => {
+                let most = WAIT * self.cfg.classes[w.request.class].aim;
+                w.until = w.arrived + most.min((w.request.give_up - w.arrived) / 2.0);
+                w.queued = true;
+                self.wait(w);
+            }
+            // Too late: what was not sent on meanwhile goes back.
+            (None, Word::Grant) => {
+                let out = self.held.values_mut().find(|h| h.job.number == number && h.job.place.is_none());
+                if let Some(h) = out {
+                    h.job.place = Some(number);
+                } else {
+                    self.spare(key, keeper, units, Some(number));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Units granted and not sent on: kept here where the next requests will want them, else given back.
+    fn spare(&mut self, key: u64, keeper: u32, units: f64, place: Option<u64>) {
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        let (name, plan) = (c.plan, &self.cfg.plans[c.plan]);
+        let shared = plan.open > 0 && c.slots == u32::MAX;
+        if !shared && keeper != self.cfg.me && c.own * STOCK_MS / 500.0 >= units + c.stock {
+            c.stock += units;
+        } else if units > 0.0 || shared && place.is_some() {
+            self.tell(key, keeper, name, -units, place);
+        }
+    }
+
+    fn tell(&mut self, key: u64, keeper: u32, plan: usize, units: f64, place: Option<u64>) {
+        if keeper == self.cfg.me {
+            self.told(key, plan, units, place.map(|k| (keeper, k)));
+        } else if place.is_some() || (units != 0.0 && self.cfg.plans[plan].rate > 0.0) {
+            let wait = if place.is_some() { 0.0 } else { TELL_MS };
+            self.note(keeper, key, wait, Item::Tell { plan, units, place });
+        }
+    }
+
+    fn current(&mut self) -> &mut Vec<(f64, f64)> {
+        let mut past = self.now - self.slot_at;
+        while past >= SLOT_LONGEST || (past >= SLOT && self.slot_count >= SLOT_LEAST) {
+            past = if self.slot_count >= SLOT_LEAST { 0.0 } else { past - SLOT_LONGEST };
+            past = past.min(SLOT_LONGEST * SLOTS as f64);
+            self.slot = (self.slot + 1) % SLOTS;
+            self.slot_count = 0;
+            self.counts[self.slot].fill((0.0, 0.0));
+        }
+        self.slot_at = self.now - past;
+        &mut self.counts[self.slot]
+    }
+
+    fn count(&mut self, tier: usize, accepted: bool) {
+        let entry = &mut self.current()[tier];
+        entry.0 += 1.0;
+        entry.1 += f64::from(u8::from(accepted));
+        self.slot_count += 1;
+    }
+
+    /// The chance that a request of this tier is refused.
+    fn chance(&mut self, tier: usize) -> f64 {
+        self.current();
+        let sum = |t: usize| self.counts.iter().fold((0.0, 0.0), |a, s| (a.0 + s[t].0, a.1 + s[t].1));
+        let failures: f64 = (0..tier).map(sum).map(|(requests, accepts)| requests - accepts).sum();
+        let (own, accepts) = sum(tier);
+        ((own + failures - K * accepts) / (own + failures + 1.0)).max(0.0)
+    }
+
+    fn throttled(&mut self, tier: usize) -> bool {
+        let chance = self.chance(tier);
+        let rate = MIN_RATE * self.servers.len() as f64 / f64::from(self.cfg.gateways);
+        let refused = chance > 0.0 && self.rng.random::<f64>() < chance;
+        if refused && self.now - self.passed[tier] < 1000.0 / rate {
+            return true;
+        }
+        self.passed[tier] = self.now;
+        false
+    }
+
+    // ---- the choice of server ----
+
+    /// The part of its capacity a server has by now at the least.
+    fn warmth(&self, s: &Live) -> f64 {
+        if s.since <= 0.0 || self.cfg.warm_within <= 0.0 {
+            return 1.0;
+        }
+        let age = ((self.now - s.since) / self.cfg.warm_within).clamp(0.0, 1.0);
+        self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age
+    }
+
+    /// What is thought to be in flight at a server, from all gateways.
+    fn load(&self, s: &Live) -> f64 {
+        let peers = f64::from(self.cfg.gateways - 1);
+        let mean = self.mean_out() / self.servers.len().max(1) as f64;
+        // The peers together: as this gateway on average, or as fresh reports from any server say.
+        let fleet = self.mixed(self.fleet.reported, mean * peers);
+        // Peers see much the same rush: the mean alone lags behind a queue that all build at once.
+        let usual = s.usual_now(self.now).max(ALIKE * s.out.len() as f64);
+        let usual = (fleet + (usual - mean) * peers.min(ALIKE_PEERS)).max(0.0);
+        s.out.len() as f64 + self.mixed(s.reported, usual)
+    }
+
+    /// A report while it is fresh, the guess as it grows old.
+    fn mixed(&self, report: Option<(f64, f64)>, guess: f64) -> f64 {
+        report.map_or(guess, |(at, said)| {
+            let kept = (-(self.now - at) / REPORT_MS).exp();
+            said * kept + guess * (1.0 - kept)
+        })
+    }
+
+    /// The time an answer takes from this server alone with nothing else to do, for a usual class.
+    /// What was seen grows old and gives way to what is known of its kind.
+    fn pace(&self, s: &Live) -> f64 {
+        let kind =
+            self.fleet.kind_pace.get(&s.kind).copied().or(self.fleet.pace).unwrap_or(0.0) / self.warmth(s);
+        s.pace.map_or(kind, |p| toward(kind, p, (-(self.now - s.paced_at) / PACE_MS).exp()))
+    }
+
+    /// The time an answer should take from this server.
+    fn foreseen(&self, s: &Live, class: usize) -> f64 {
+        let weight = match (self.fleet.class_pace[class], self.fleet.pace) {
+            (c, Some(fleet)) if c > 0.0 && fleet > 0.0 => c / fleet,
+            _ => 1.0,
+        };
+        let oldest = s.out.values().copied().fold(self.now, f64::min);
+        (weight * self.pace(s) * slowdown(self.load(s))).max(0.5 * (self.now - oldest))
+    }
+
+    /// The server with the least expected time of some drawn by lot that have room: not foreseen to
+    /// take longer than `most`, in the given group, not the one to avoid. With few gateways each
+    /// knows every server and looks at all of them; with many, all would run after the same few.
+    fn choose(
+        &mut self,
+        class: usize,
+        most: f64,
+        group: Option<(Group, u32, u32)>,
+        avoid: Option<&Name>,
+    ) -> Option<Name> {
+        let grouped = |s: &Live| match group {
+            Some((Group::Zone, zone, _)) => s.zone == zone,
+            Some((Group::Cell, _, cell)) => s.cell == cell,
+            _ => true,
+        };
+        let mut drawn: Vec<&Name> = Vec::with_capacity(self.servers.len());
+        drawn.extend(
+            self.servers
+                .iter()
+                .filter(|(n, s)| s.health == Health::Up && grouped(s) && avoid != Some(n))
+                .map(|(n, _)| n),
+        );
+        let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
+            .max(LOOK)
+            .min(drawn.len() as f64);
+        let aim = self.cfg.classes[class].aim;
+        let mut best: Option<(f64, Name)> = None;
+        let mut seen = 0.0;
+        for k in 0..drawn.len() {
+            let other = self.rng.random_range(k..drawn.len());
+            drawn.swap(k, other);
+            let s = &self.servers[drawn[k]];
+            let warmth = self.warmth(s);
+            // Were it chosen each time, a cold server would get its part of a warm one's share.
+            if warmth < 1.0 && self.rng.random::<f64>() >= COLD_PART * warmth / look {
+                continue;
+            }
+            let time = self.foreseen(s, class);
+            // Where nothing of ours is out or has lately gone there is room for one: else nothing more
+            // would be learned. All gateways do so, hence the gap grows with their number.
+            let quiet = s.out.is_empty() && self.now - s.sent_at > PEEK_MS * f64::from(self.cfg.gateways);
+            if time > most && !(quiet && avoid.is_none()) {
+                continue;
+            }
+            let fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp();
+            let cross = if s.zone == self.cfg.zone { 1.0 } else { 1.05 };
+            let cost = (time * cross + (fail - self.fleet.fail).max(0.0) * aim)
+                * (1.0 + 0.1 * self.rng.random::<f64>());
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, drawn[k].clone()));
+            }
+            seen += 1.0;
+            if seen >= look {
+                break;
+            }
+        }
+        best.map(|(_, name)| name)
+    }
+
+    /// What this gateway has out at all servers on average over time: over longer the fewer it sees.
+    fn mean_out(&self) -> f64 {
+        let times = (f64::from(self.cfg.gateways) / 10.0).clamp(1.0, FLEET_TIMES);
+        let kept = (-(self.now - self.fleet.usual_at) / (times * DEMAND_MS)).exp();
+        self.fleet.usual * kept + self.fleet.in_flight as f64 * (1.0 - kept)
+    }
+
+    fn send(&mut self, id: u64, server: Name) {
+        let Some(s) = self.servers.get(&server) else { return };
+        let load = self.load(s);
+        (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
+        self.fleet.in_flight += 1;
+        let (Some(s), Some(h)) = (self.servers.get_mut(&server), self.held.get_mut(&id)) else { return };
+        s.average(self.now);
+        s.out.insert(id, self.now);
+        s.sent_at = self.now;
+        h.attempts += 1;
+        h.sent_at = self.now;
+        h.load = load;
+        let class = &self.cfg.classes[h.job.request.class];
+        // An answer past its aim earns nothing: it is not waited for, and silence is not taken for load.
+        let end = if class.late_worth > 0.0 { f64::INFINITY } else { h.job.arrived + class.aim };
+        let not_past = h.job.request.give_up.min(end);
+        self.actions.push(Action::Send { id, server, not_past });
+    }
+
+    fn on_left(&mut self, id: u64) {
+        self.waits.retain(|_, w| w.request.id != id);
+        let Some(h) = self.held.get_mut(&id) else { return };
+        h.ended = true;
+        let (tier, late) = (h.job.tier, self.now - h.job.arrived > self.cfg.classes[h.job.request.class].aim);
+        if late {
+            self.count(tier, false);
+        }
+    }
+
+    fn on_outcome(&mut self, o: &Outcome) {
+        (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
+        let guess = self.servers.get(&o.server).map_or(0.0, |s| self.pace(s));
+        let warmth = self.servers.get(&o.server).map_or(1.0, |s| self.warmth(s));
+        let Some(h) = self.held.get_mut(&o.id) else { return };
+        let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
+        let (plan, units) = (h.job.request.plan, h.job.request.units);
+        let ran = !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::Moot);
+        if let Some(s) = self.servers.get_mut(&o.server)
+            && s.out.contains_key(&o.id)
+        {
+            s.average(self.now);
+            s.out.remove(&o.id);
+            self.fleet.in_flight = self.fleet.in_flight.saturating_sub(1);
+            if ran && h.may_run.is_none() {
+                h.may_run = Some((s.zone, s.cell, h.sent_at));
+            }
+            if let Some(holds) = o.report.and_then(|r| r.in_flight) {
+                let others = (holds - s.out.len() as f64).max(0.0);
+                s.reported = Some((self.now, others));
+                let so_far = self.fleet.reported.map_or(others, |(_, mean)| mean);
+                self.fleet.reported = Some((self.now, so_far + LEARN_REPORT * (others - so_far)));
+            }
+            let failed = !matches!(o.ending, Ending::Ok | Ending::Cancelled | Ending::Moot);
+            let fail = f64::from(u8::from(failed));
+            s.fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp() * (1.0 - LEARN) + LEARN * 2.0 * fail;
+            s.fail_at = self.now;
+            self.fleet.fail += LEARN_ALL * (fail - self.fleet.fail);
+            if matches!(o.ending, Ending::Ok | Ending::Timeout) {
+                let pace = o.latency.max(0.1) / slowdown(load);
+                self.fleet.took += LEARN * (o.latency - self.fleet.took);
+                self.fleet.answers += 1.0;
+                let learn_all = LEARN_ALL.max(1.0 / self.fleet.answers);
+                let fleet = self.fleet.pace.unwrap_or(pace);
+                let c = &mut self.fleet.class_pace[class];
+                let weight = if *c > 0.0 { *c / fleet } else { 1.0 };
+                *c = if *c > 0.0 { toward(*c, pace, learn_all) } else { pace };
+                let own = if guess > 0.0 { guess } else { pace };
+                let slow = own * weight > self.room * self.cfg.classes[class].aim;
+                s.pace = Some(toward(own, pace / weight, if slow { LEARN_SLOW } else { LEARN }));
+                s.paced_at = self.now;
+                if warmth >= 1.0 {
+                    let kind = self.fleet.kind_pace.entry(s.kind).or_insert(fleet);
+                    *kind = toward(*kind, pace / weight, learn_all);
+                }
+                self.fleet.pace = Some(toward(fleet, pace, learn_all));
+            }
+        }
+        self.tell(key, keeper, plan, o.units.map_or(0.0, |all| all - units), None);
+        let Some(h) = self.held.get(&o.id) else { return };
+        if h.ended {
+            self.finish(o.id);
+            return;
+        }
+        let (tier, in_time) = (h.job.tier, self.now - h.job.arrived <= self.cfg.classes[class].aim);
+        if o.last {
+            self.finish(o.id);
+            self.count(tier, o.ending == Ending::Ok && in_time);
+            return;
+        }
+        if let Some(server) = self.again(o) {
+            self.retries -= 1.0;
+            self.send(o.id, server);
+            return;
+        }
+        let Some(h) = self.finish(o.id) else { return };
+        // An error is an answer: the server had room for it.
+        self.count(tier, o.ending == Ending::Error && in_time);
+        let effect = self.cfg.classes[class].effect;
+        if h.may_run.is_none() || matches!(effect, Effect::Safe | Effect::Keyed(Group::All)) {
+            self.refuse(o.id);
+        } else {
+            self.actions.push(Action::Fail { id: o.id });
+        }
+    }
+
+    /// Forgets a request whose last attempt has ended, and gives its place back.
+    fn finish(&mut self, id: u64) -> Option<Held> {
+        let h = self.held.remove(&id)?;
+        if let Some(c) = self.customers.get_mut(&h.job.key) {
+            c.open = c.open.saturating_sub(1);
+        }
+        let own = self.customers.get(&h.job.key).is_some_and(|c| c.slots < u32::MAX);
+        if own || h.job.place.is_some() && self.cfg.plans[h.job.request.plan].open > 0 {
+            // Its next one here takes the place at once: each way to the keeper leaves it empty.
+            let next = self.waits.values().find(|w| w.key == h.job.key && (w.queued || !own));
+            match next.map(|w| w.number).and_then(|k| self.waits.remove(&k)) {
+                Some(w) if own => self.admit(w),
+                Some(w) => {
+                    self.tell(w.key, w.keeper, w.request.plan, w.request.units, None);
+                    self.admit(Job { place: h.job.place, ..w });
+                }
+                None if own => {}
+                None => self.tell(h.job.key, h.job.keeper, h.job.request.plan, 0.0, h.job.place),
+            }
+        }
+        Some(h)
+    }
+
+    /// The server for a further attempt, if one is allowed, affordable and still of use.
+    fn again(&mut self, o: &Outcome) -> Option<Name> {
+        let h = self.held.get(&o.id)?;
+        let class = &self.cfg.classes[h.job.request.class];
+        let most = (h.job.arrived + class.aim).min(h.job.request.give_up) - self.now;
+        let group = match (class.effect, h.may_run) {
+            (_, None) | (Effect::Safe, _) => None,
+            (Effect::Unsafe, Some(_)) => return None,
+            (Effect::Keyed(group), Some((zone, cell, at))) => {
+                if self.now - at >= class.window {
+                    return None;
+                }
+                Some((group, zone, cell))
+            }
+        };
+        let spent = self.cfg.max_attempts > 0 && h.attempts >= self.cfg.max_attempts;
+        if spent || self.retries < 1.0 || matches!(o.ending, Ending::Cancelled | Ending::Moot) {
+            return None;
+        }
+        let class = h.job.request.class;
+        self.choose(class, most, group, Some(&o.server))
+    }
+
+    /// Puts an item into the next note to a peer, which goes after `wait` ms at the latest.
+    fn note(&mut self, to: u32, key: u64, wait: f64, item: Item) {
+        let (due, item) = (self.now + wait, item.write(key, self.now));
+        let (at, text) = self.post.items.entry(to).or_insert((due, String::new()));
+        *at = at.min(due);
+        if text.len() + item.len() > NOTE_BYTES {
+            self.post.left -= 1.0;
+            let text = std::mem::replace(text, item);
+            self.actions.push(Action::Tell { to, text });
+        } else {
+            text.push_str(&item);
+        }
+    }
+
+    /// Sends what is due, as far as the peers can take it in; the rest follows in fuller notes.
+    fn flush(&mut self) {
+        let rate = INTAKE_PART * self.cfg.note_intake.max(1.0);
+        let most = (0.1 * rate).max(1.0);
+        self.post.left = (self.post.left + rate * (self.now - self.post.left_at) / 1000.0).min(most);
+        self.post.left_at = self.now;
+        let due = |(_, (at, _)): &(&u32, &(f64, String))| *at <= self.now;
+        while self.post.left >= 1.0 {
+            let next = self.post.items.range(self.post.next..).find(due).or(self.post.items.iter().find(due));
+            let Some(to) = next.map(|(to, _)| *to) else { break };
+            let Some((_, text)) = self.post.items.remove(&to) else { break };
+            self.post.left -= 1.0;
+            self.post.next = to + 1;
+            self.actions.push(Action::Tell { to, text });
+        }
+        let first = self.post.items.values().map(|(at, _)| *at - self.now).fold(f64::INFINITY, f64::min);
+        let after = first.max(1000.0 * (1.0 - self.post.left) / rate).max(1.0);
+        if first.is_finite() && self.post.tick_at.is_none_or(|at| self.now + after + 1.0 < at) {
+            self.post.tick_at = Some(self.now + after);
+            self.actions.push(Action::SetTimer { token: TICK, after });
+        }
+        if self.now - self.swept > IDLE_MS / 10.0 {
+            self.swept = self.now;
+            let now = self.now;
+            self.customers.retain(|_, c| c.open > 0 || !c.queue.is_empty() || now - c.seen < IDLE_MS);
+        }
+    }
+
+    fn on_note(&mut self, from: u32, text: &str) {
+        let now = self.now;
+        for (key, item) in text.split(';').filter_map(|t| Item::read(t, from, now)) {
+            match item {
+                Item::Ask { plan, ask, weight } if plan < self.cfg.plans.len() => {
+                    let (word, units) = self.asked(key, plan, ask, weight);
+                    self.answer(key, &ask, word, units);
+                }
+                Item::Tell { plan, units, place } if plan < self.cfg.plans.len() => {
+                    self.told(key, plan, units, place.map(|k| (from, k)));
+                }
+                Item::Answer { number, word, units, demand, granted, level } => {
+                    if let Some(c) = self.customers.get_mut(&key) {
+                        c.told = Some((self.now, demand, granted, level));
+                    }
+                    self.answered(key, from, number, word, units);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/module.rs
@@ -0,0 +1,547 @@
+//! The module alone: one small test for each rule, guard and failure found.
+
+use dewwood::*;
+
+fn settings() -> Settings {
+    let class = |effect, worth| Class { worth, aim: 800.0, late_worth: 0.0, effect, window: 2000.0 };
+    Settings {
+        gateways: 1,
+        classes: vec![
+            class(Effect::Safe, 1.0),
+            class(Effect::Unsafe, 9.0),
+            class(Effect::Keyed(Group::Zone), 3.0),
+        ],
+        plans: vec![
+            Plan { rate: 1000.0, burst: 1000.0, price: 1.0, over_cost: 0.5, ..Plan::default() },
+            Plan { rate: 2.0, burst: 4.0, price: 1.0, over_cost: 0.5, ..Plan::default() },
+            Plan { open: 2, price: 1.0, over_cost: 1.0, ..Plan::default() },
+            Plan {
+                rate: 1000.0,
+                burst: 1000.0,
+                price: 1.0,
+                ceiling_rate: 4.0,
+                ceiling_burst: 16.0,
+                ceiling_slack: 2.0,
+                ..Plan::default()
+            },
+        ],
+        max_attempts: 3,
+        notes: true,
+        note_intake: 50.0,
+        cold_from: 0.2,
+        warm_within: 10_000.0,
+        ..Settings::default()
+    }
+}
+
+fn line(name: &str, zone: u32) -> Server {
+    Server { name: name.into(), zone, cell: zone, kind: 0, size: 1.0, health: Health::Up, since: 0.0 }
+}
+
+/// A gateway with servers a and b in zone 0 and c in zone 1.
+fn gateway(cfg: Settings) -> Control {
+    let mut g = Control::new(cfg, 11).expect("sound settings");
+    let servers = vec![line("a", 0), line("b", 0), line("c", 1)];
+    g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+    g
+}
+
+fn ask(id: u64, class: usize, plan: usize, now: f64) -> Event {
+    Event::Request(Request {
+        id,
+        customer: "acme".into(),
+        class,
+        plan,
+        units: 1.0,
+        first: 0,
+        spread: 2,
+        give_up: now + 2000.0,
+        repeat: false,
+    })
+}
+
+fn end(id: u64, server: &str, ending: Ending, latency: f64) -> Event {
+    Event::Outcome(Outcome {
+        id,
+        attempt: 0,
+        server: server.into(),
+        ending,
+        latency,
+        last: ending == Ending::Ok,
+        metered: None,
+        units: None,
+        report: None,
+    })
+}
+
+fn sent(actions: &[Action]) -> Option<String> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(server.to_string()),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
+
+/// Serves one request to its end; false when it was refused.
+fn serve(g: &mut Control, id: u64, class: usize, plan: usize, now: f64) -> bool {
+    let Some(server) = sent(&g.handle(now, ask(id, class, plan, now))) else { return false };
+    g.handle(now + 1.0, end(id, &server, Ending::Ok, 1.0));
+    true
+}
+
+#[test]
+fn a_bucket_holds_its_burst_and_fills_at_its_rate() {
+    let mut g = gateway(settings());
+    let first = (0..10).filter(|k| serve(&mut g, *k, 0, 1, *k as f64)).count();
+    assert_eq!(first, 4);
+    let later = (10..20).filter(|k| serve(&mut g, *k, 0, 1, 1000.0 + *k as f64)).count();
+    assert!((1..=2).contains(&later), "{later} a second after");
+}
+
+/// Two gateways of one customer's set, with what each is to do when notes pass between them.
+struct Pair {
+    both: [Control; 2],
+    lost: bool,
+}
+
+impl Pair {
+    fn new(cfg: Settings) -> Self {
+        let cfg = Settings { gateways: 2, ..cfg };
+        Pair { both: [gateway(cfg.clone()), gateway(Settings { me: 1, ..cfg })], lost: false }
+    }
+
+    /// Hands an event to a gateway and the notes on, until all is said; gives what is not a note.
+    fn handle(&mut self, who: usize, now: f64, event: Event) -> Vec<(usize, Action)> {
+        let mut left = vec![(who, event)];
+        let mut done = Vec::new();
+        while let Some((who, event)) = left.pop() {
+            for action in self.both[who].handle(now, event) {
+                match action {
+                    Action::Tell { .. } if self.lost => {}
+                    Action::Tell { to, text } => {
+                        assert!(text.len() <= 256 && to as usize != who);
+                        left.push((to as usize, Event::Note { from: who as u32, text }));
+                    }
+                    other => done.push((who, other)),
+                }
+            }
+        }
+        done
+    }
+}
+
+fn sends(done: &[(usize, Action)]) -> usize {
+    done.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count()
+}
+
+/// Hands a request in and ends what is sent on for it at once.
+fn through(pair: &mut Pair, who: usize, id: u64, now: f64) -> usize {
+    let done = pair.handle(who, now, ask(id, 0, 1, now));
+    for (at, action) in &done {
+        if let Action::Send { id, server, .. } = action {
+            pair.handle(*at, now, end(*id, server, Ending::Ok, 5.0));
+        }
+    }
+    sends(&done)
+}
+
+#[test]
+fn one_store_serves_all_gateways_of_a_customer() {
+    for who in [0, 1] {
+        let mut pair = Pair::new(settings());
+        let sent: usize = (0..30).map(|k| through(&mut pair, who, k, 100.0 * k as f64)).sum();
+        assert!((7..=10).contains(&sent), "{sent} of a store of 4 and 2 a second");
+        let at_once: usize =
+            (40..60u64).map(|k| through(&mut pair, (k % 2) as usize, k, 9000.0 + k as f64)).sum();
+        assert!((3..=4).contains(&at_once), "{at_once} at once through two gateways");
+    }
+}
+
+#[test]
+fn a_silent_keeper_holds_nobody_past_his_patience() {
+    let mut pair = Pair::new(settings());
+    pair.lost = true;
+    for who in [0, 1] {
+        let done = pair.handle(who, 0.0, ask(1, 0, 1, 0.0));
+        let timer = done.iter().find_map(|(_, a)| match a {
+            Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
+            _ => None,
+        });
+        // One of the two is the keeper itself and sends at once; the other asks in vain.
+        let Some((token, after)) = timer else {
+            assert_eq!(sends(&done), 1);
+            continue;
+        };
+        assert!(after <= 400.0, "{after} ms of an aim of 800");
+        let late = pair.handle(who, after + 1.0, Event::Timer { token });
+        assert_eq!(sends(&late), 1, "the even slice has room for it");
+    }
+}
+
+#[test]
+fn places_are_shared_granted_and_come_back() {
+    // Two places, three gateways in the set: none has one of its own.
+    let shared = |id, now| match ask(id, 0, 2, now) {
+        Event::Request(r) => Event::Request(Request { spread: 3, ..r }),
+        other => other,
+    };
+    let cfg = Settings { gateways: 3, ..settings() };
+    let mut g = gateway(Settings { me: 0, ..cfg.clone() });
+    let keeper = (0..3u32)
+        .find(|me| sent(&gateway(Settings { me: *me, ..cfg.clone() }).handle(0.0, shared(1, 0.0))).is_some());
+    g = match keeper {
+        Some(me) => gateway(Settings { me, ..cfg }),
+        None => g,
+    };
+    let first = sent(&g.handle(0.0, shared(1, 0.0))).expect("a place");
+    assert!(sent(&g.handle(1.0, shared(2, 1.0))).is_some(), "the second place");
+    assert!(sent(&g.handle(2.0, shared(3, 2.0))).is_none(), "no third");
+    assert!(sent(&g.handle(60.0, end(1, &first, Ending::Ok, 60.0))).is_some(), "the one that waits goes on");
+}
+
+#[test]
+fn nonsense_in_a_note_is_passed_over() {
+    let mut g = gateway(Settings { gateways: 2, ..settings() });
+    for text in [
+        "",
+        ";;;",
+        "zz,1",
+        "1,NaN,inf;",
+        "a,1",
+        "a,1,9,1,1.0,0.0,1.0,400;",
+        "a,1,0,1,-5,0,1,9;",
+        "t,1,9,,1.0;",
+        "g,1,7,1,1,1,1,1;",
+        "g,ff,1,1,1e300,1,1,1;",
+        "\u{1F600},1,1",
+    ] {
+        g.handle(1.0, Event::Note { from: 1, text: text.into() });
+    }
+    assert!(serve(&mut g, 1, 0, 0, 2.0));
+}
+
+#[test]
+fn a_guess_is_settled_against_the_true_units() {
+    let mut g = gateway(settings());
+    let server = sent(&g.handle(0.0, ask(1, 0, 1, 0.0))).expect("sent");
+    let Event::Outcome(o) = end(1, &server, Ending::Ok, 5.0) else { unreachable!() };
+    g.handle(5.0, Event::Outcome(Outcome { units: Some(4.0), ..o }));
+    assert!(!serve(&mut g, 2, 0, 1, 6.0), "the answer took the whole store");
+}
+
+#[test]
+fn a_ceiling_slice_starts_empty_and_never_passes_its_part() {
+    let mut g = gateway(Settings { gateways: 2, ..settings() });
+    assert!(!serve(&mut g, 1, 0, 3, 0.0), "a former life may have spent the slice");
+    let passed = (0..200u64).filter(|k| serve(&mut g, 100 + k, 0, 3, 60_000.0 + *k as f64)).count();
+    assert!(passed as f64 <= (16.0 + 2.0) / 2.0 + 1.0, "{passed} sent at once");
+    assert!(passed >= 7, "{passed} sent at once");
+}
+
+#[test]
+fn a_request_waits_for_a_place_and_is_answered_in_any_case() {
+    let mut g = gateway(Settings { gateways: 2, ..settings() });
+    let server = sent(&g.handle(0.0, ask(1, 0, 2, 0.0))).expect("one place");
+    let waits = g.handle(1.0, ask(2, 0, 2, 1.0));
+    let timer = waits.iter().find_map(|a| match a {
+        Action::SetTimer { token, after } => Some((*token, *after)),
+        _ => None,
+    });
+    let (token, after) = timer.expect("the wait has an end");
+    assert!(sent(&waits).is_none() && !refused(&waits) && after <= 1000.0);
+    let mut late = gateway(Settings { gateways: 2, ..settings() });
+    late.handle(0.0, ask(1, 0, 2, 0.0));
+    late.handle(1.0, ask(2, 0, 2, 1.0));
+    assert!(refused(&late.handle(1.0 + after, Event::Timer { token })), "no place came free");
+    assert!(sent(&g.handle(50.0, end(1, &server, Ending::Ok, 50.0))).is_some(), "the place is taken over");
+    assert!(!refused(&g.handle(1.0 + after, Event::Timer { token })));
+}
+
+#[test]
+fn a_wait_never_outlasts_the_client() {
+    let mut g = gateway(Settings { gateways: 2, ..settings() });
+    g.handle(0.0, ask(1, 0, 2, 0.0));
+    let Event::Request(r) = ask(2, 0, 2, 1.0) else { unreachable!() };
+    let waits = g.handle(1.0, Event::Request(Request { give_up: 61.0, ..r }));
+    let after = waits.iter().find_map(|a| match a {
+        Action::SetTimer { after, .. } => Some(*after),
+        _ => None,
+    });
+    assert!(refused(&waits) || after.expect("a timer") <= 30.0);
+}
+
+#[test]
+fn the_throttle_passes_everything_until_k_is_passed_and_a_minimum_after() {
+    let mut g = gateway(settings());
+    let passed = (0..50u64).filter(|k| serve(&mut g, *k, 0, 0, *k as f64 * 10.0)).count();
+    assert_eq!(passed, 50, "nothing fails, nothing is refused");
+    // Every answer is a rejection from here on.
+    let mut tried = 0;
+    for k in 0..600u64 {
+        let now = 20_000.0 + k as f64 * 10.0;
+        if let Some(server) = sent(&g.handle(now, ask(1000 + k, 1, 0, now))) {
+            tried += 1;
+            g.handle(now + 1.0, end(1000 + k, &server, Ending::Timeout, 1.0));
+        }
+    }
+    assert!(tried < 200, "{tried} of 600 sent to a back end that answers nothing");
+    assert!(tried >= 3, "a minimum rate passes: {tried}");
+}
+
+#[test]
+fn the_lower_tier_gives_way_first() {
+    let mut cfg = settings();
+    cfg.classes[0].effect = Effect::Unsafe;
+    let mut g = gateway(cfg);
+    let (mut high, mut low, mut tenth, mut served) = (0, 0, 0, 0);
+    for k in 0..2000u64 {
+        let now = k as f64 * 5.0;
+        let class = if k % 2 == 0 { 1 } else { 0 };
+        if let Some(server) = sent(&g.handle(now, ask(k, class, 0, now))) {
+            *(if class == 1 { &mut high } else { &mut low }) += 1;
+            // The back end answers eight in each tenth of a second and times the rest out.
+            if k / 20 != tenth {
+                (tenth, served) = (k / 20, 0);
+            }
+            served += 1;
+            let ending = if served > 8 { Ending::Timeout } else { Ending::Ok };
+            g.handle(now + 1.0, end(k, &server, ending, 1.0));
+        }
+    }
+    assert!(low * 2 < high, "low {low}, high {high}");
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_neither_repeated_nor_refused() {
+    for ending in [Ending::Error, Ending::Timeout, Ending::Reset] {
+        let mut g = gateway(settings());
+        let server = sent(&g.handle(0.0, ask(1, 1, 0, 0.0))).expect("sent");
+        let after = g.handle(10.0, end(1, &server, ending, 10.0));
+        assert!(sent(&after).is_none() && !refused(&after) && failed(&after), "{ending:?}");
+    }
+}
+
+#[test]
+fn what_never_ran_goes_to_another_server() {
+    for ending in [Ending::Full, Ending::Unreachable] {
+        let mut g = gateway(settings());
+        let server = sent(&g.handle(0.0, ask(1, 1, 0, 0.0))).expect("sent");
+        let next = sent(&g.handle(10.0, end(1, &server, ending, 10.0)));
+        assert!(next.is_some_and(|n| n != server), "{ending:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_window() {
+    for seed in 0..40u64 {
+        let mut g = Control::new(settings(), seed).expect("sound");
+        let servers = vec![line("a", 0), line("b", 0), line("c", 1), line("d", 1)];
+        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        let server = sent(&g.handle(0.0, ask(1, 2, 0, 0.0))).expect("sent");
+        let next = sent(&g.handle(10.0, end(1, &server, Ending::Error, 10.0))).expect("a second attempt");
+        let zone = |s: &str| s == "c" || s == "d";
+        assert_eq!(zone(&server), zone(&next));
+    }
+    let mut cfg = settings();
+    cfg.classes[2].window = 5.0;
+    let mut g = gateway(cfg);
+    let server = sent(&g.handle(0.0, ask(1, 2, 0, 0.0))).expect("sent");
+    assert!(failed(&g.handle(10.0, end(1, &server, Ending::Error, 10.0))), "the window has passed");
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_missing_server() {
+    let mut g = gateway(settings());
+    let draining = Server { health: Health::Draining, ..line("a", 0) };
+    g.handle(1.0, Event::Servers { listing: Listing::Changes, servers: vec![draining] });
+    g.handle(2.0, Event::Servers { listing: Listing::Complete, servers: vec![line("a", 0), line("b", 0)] });
+    let gone = Server { health: Health::Gone, ..line("a", 0) };
+    g.handle(3.0, Event::Servers { listing: Listing::Changes, servers: vec![gone] });
+    for k in 0..50 {
+        let to = sent(&g.handle(4.0, ask(k, 0, 0, 4.0)));
+        assert!(to.is_none() || to.as_deref() == Some("b"), "{to:?}");
+    }
+}
+
+#[test]
+fn a_cold_server_gets_its_small_part() {
+    let mut g = gateway(settings());
+    for k in 0..300u64 {
+        assert!(serve(&mut g, k, 0, 0, 10_000.0 + k as f64 * 10.0));
+    }
+    let fresh = Server { since: 13_000.0, ..line("d", 0) };
+    g.handle(13_000.0, Event::Servers { listing: Listing::Changes, servers: vec![fresh] });
+    let mut cold = 0u32;
+    for k in 0..100u64 {
+        let now = 13_000.0 + k as f64 * 10.0;
+        if let Some(server) = sent(&g.handle(now, ask(1000 + k, 0, 0, now))) {
+            cold += u32::from(server == "d");
+            // Nothing is answered any more: the warm servers fill up and the cold one looks free.
+        }
+    }
+    // Three warm servers bear about 33 a second each; a fifth of that is 7.
+    assert!((1..=12).contains(&cold), "{cold} in the first second");
+}
+
+#[test]
+fn a_server_that_fails_fast_does_not_look_idle() {
+    let mut g = gateway(settings());
+    let mut to_bad = 0;
+    for k in 0..400u64 {
+        let now = k as f64 * 20.0;
+        let Some(server) = sent(&g.handle(now, ask(k, 1, 0, now))) else { continue };
+        let bad = server == "a";
+        to_bad += u32::from(bad && k >= 100);
+        let (ending, took) = if bad { (Ending::Error, 1.0) } else { (Ending::Ok, 15.0) };
+        g.handle(now + took, end(k, &server, ending, took));
+    }
+    assert!(to_bad < 60, "{to_bad} of 300 sent to a server that fails at once");
+}
+
+#[test]
+fn knowledge_of_slowness_never_shuts_the_gate_for_good() {
+    let mut g = gateway(settings());
+    for k in 0..60u64 {
+        let now = k as f64 * 100.0;
+        if let Some(server) = sent(&g.handle(now, ask(k, 0, 0, now))) {
+            g.handle(now + 5000.0, end(k, &server, Ending::Ok, 5000.0));
+        }
+    }
+    let passed = (0..100u64).filter(|k| serve(&mut g, 1000 + k, 0, 0, 40_000.0 + *k as f64 * 50.0)).count();
+    assert!(passed > 50, "{passed} of 100 after the slow spell");
+}
+
+#[test]
+fn no_attempt_starts_that_cannot_meet_the_aim() {
+    let mut g = gateway(settings());
+    let server = sent(&g.handle(0.0, ask(1, 0, 0, 0.0))).expect("sent");
+    let after = g.handle(900.0, end(1, &server, Ending::Full, 900.0));
+    assert!(sent(&after).is_none() && refused(&after));
+}
+
+#[test]
+fn a_request_always_ends() {
+    let mut g = Control::new(settings(), 1).expect("sound");
+    assert!(refused(&g.handle(0.0, ask(1, 0, 0, 0.0))), "no servers");
+    let mut g = gateway(settings());
+    assert!(refused(&g.handle(0.0, ask(2, 99, 0, 0.0))), "no such class");
+    assert!(refused(&g.handle(0.0, ask(3, 0, 99, 0.0))), "no such plan");
+    let server = sent(&g.handle(0.0, ask(4, 0, 0, 0.0))).expect("sent");
+    let over = g.handle(2000.0, end(4, &server, Ending::Timeout, 2000.0));
+    assert!(refused(&over) || failed(&over));
+}
+
+#[test]
+fn what_is_no_longer_held_is_passed_over() {
+    let mut g = gateway(settings());
+    for event in [end(77, "a", Ending::Ok, 1.0), Event::Left { id: 77 }, Event::Timer { token: 12345 }] {
+        let actions = g.handle(1.0, event);
+        assert!(actions.iter().all(|a| matches!(a, Action::SetTimer { .. })));
+    }
+    let server = sent(&g.handle(2.0, ask(1, 0, 0, 2.0))).expect("sent");
+    g.handle(3.0, Event::Left { id: 1 });
+    let after = g.handle(4.0, end(1, &server, Ending::Timeout, 2.0));
+    assert!(after.is_empty(), "its request had ended: {after:?}");
+}
+
+#[test]
+fn unsound_settings_are_an_error() {
+    let with = |change: fn(&mut Settings)| {
+        let mut cfg = settings();
+        change(&mut cfg);
+        Control::new(cfg, 1).is_err()
+    };
+    assert!(with(|c| c.classes.clear()));
+    assert!(with(|c| c.gateways = 0));
+    assert!(with(|c| c.classes[0].aim = 0.0));
+    assert!(with(|c| c.classes[0].worth = f64::NAN));
+    assert!(with(|c| c.classes[2].window = 0.0));
+    assert!(with(|c| c.plans[0].rate = -1.0));
+    assert!(with(|c| c.plans[0].burst = 0.0));
+    assert!(with(|c| c.warm_within = f64::INFINITY));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_actions() {
+    let run = |seed| {
+        let mut g = Control::new(settings(), seed).expect("sound");
+        let servers = vec![line("a", 0), line("b", 0), line("c", 1)];
+        let mut all = g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        for k in 0..200u64 {
+            all.extend(g.handle(k as f64, ask(k, (k % 3) as usize, 0, k as f64)));
+        }
+        all
+    };
+    assert_eq!(run(5), run(5));
+    assert_ne!(run(5), run(6));
+}
+
+#[test]
+fn a_few_heavy_answers_do_not_make_a_whole_class_look_slow() {
+    let mut g = gateway(settings());
+    let mut passed = 0;
+    for k in 0..400u64 {
+        let now = k as f64 * 50.0;
+        let Some(server) = sent(&g.handle(now, ask(k, 1, 0, now))) else { continue };
+        passed += 1;
+        let took = if k % 25 == 24 { 790.0 } else { 40.0 };
+        g.handle(now + took, end(k, &server, Ending::Ok, took));
+    }
+    assert!(passed > 380, "{passed} of 400 while one answer in 25 takes twenty times as long");
+}
+
+#[test]
+fn hundreds_of_gateways_together_keep_a_cold_server_within_its_budget() {
+    // 200 gateways of five requests a second; one of eleven servers has just started, cold at a fifth.
+    let mut cold = 0u32;
+    for me in 0..200u32 {
+        let cfg = Settings { gateways: 200, me, ..settings() };
+        let mut g = Control::new(cfg, u64::from(me) + 1).expect("sound settings");
+        let mut servers: Vec<Server> = (0..10).map(|k| line(&format!("s{k}"), 0)).collect();
+        servers.push(Server { since: 13_000.0, ..line("cold", 0) });
+        g.handle(13_000.0, Event::Servers { listing: Listing::Complete, servers });
+        for k in 0..5u64 {
+            let now = 13_000.0 + 200.0 * k as f64 + f64::from(me % 200);
+            let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!() };
+            let alone = Event::Request(Request { first: me, spread: 1, ..r });
+            let server = sent(&g.handle(now, alone)).expect("sent");
+            cold += u32::from(server == "cold");
+            g.handle(now + 50.0, end(k, &server, Ending::Ok, 50.0));
+        }
+    }
+    // A warm one bears 100 of the 1000; a fifth to a quarter of that is 20 to 30.
+    assert!(cold <= 30, "{cold} to the cold server in its first second");
+}
+
+#[test]
+fn one_request_of_ours_is_not_a_queue_of_hundreds() {
+    let mut g = gateway(Settings { gateways: 300, ..settings() });
+    for k in 0..30u64 {
+        let now = k as f64 * 30_000.0;
+        let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!() };
+        let server = sent(&g.handle(now, Event::Request(Request { spread: 1, ..r }))).expect("room for all");
+        g.handle(now + 100.0, end(k, &server, Ending::Ok, 100.0));
+    }
+}
+
+#[test]
+fn an_attempt_ends_with_its_aim_where_later_earns_nothing() {
+    let last = |late_worth| {
+        let mut cfg = settings();
+        cfg.classes[0].late_worth = late_worth;
+        let mut g = gateway(cfg);
+        g.handle(10.0, ask(1, 0, 0, 10.0)).iter().find_map(|a| match a {
+            Action::Send { not_past, .. } => Some(*not_past),
+            _ => None,
+        })
+    };
+    assert_eq!(last(0.0), Some(810.0), "aim of 800 ms");
+    assert_eq!(last(0.2), Some(2010.0), "the client's time");
+}
