--- a/src/bin/dewwood-adapter/wire.rs
+++ b/src/bin/dewwood-adapter/wire.rs
@@ -166,90 +166,6 @@
     throughput: Option<f64>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Conf {
-    balancers: u32,
-    #[serde(default)]
-    me: u32,
-    #[serde(default)]
-    zone: u32,
-    classes: Vec<ConfClass>,
-    #[serde(default)]
-    plans: Vec<ConfPlan>,
-    #[serde(default)]
-    bounds: Bounds,
-    #[serde(default)]
-    domain: Domain,
-    #[serde(default)]
-    rules: Rules,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct ConfClass {
-    #[serde(default)]
-    worth: f64,
-    target: f64,
-    #[serde(default)]
-    late_worth: f64,
-    effect: Word,
-    #[serde(default)]
-    group: Option<GroupWord>,
-    #[serde(default)]
-    window: f64,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "snake_case")]
-enum Word {
-    Repeatable,
-    ByKey,
-    Once,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "lowercase")]
-enum GroupWord {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct ConfPlan {
-    units_per_s: f64,
-    peak_units: f64,
-    max_out: u32,
-    value_factor: f64,
-    over_cost: f64,
-    cap_rate: f64,
-    cap_depth: f64,
-    ceiling_slack: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Bounds {
-    peers: bool,
-    try_limit: u32,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Domain {
-    peer_intake: f64,
-    largest: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Rules {
-    cold_from: f64,
-    warm_within: f64,
-}
-
 #[derive(Serialize)]
 #[serde(tag = "kind", rename_all_fields = "PascalCase")]
 enum Reply<'a> {
@@ -303,7 +219,7 @@
                 return Ok(None);
             }
             Frame::Hello { gatekeeper_id, prng, conf } => {
-                let control = Control::new(settings(*conf), prng).map_err(|e| e.to_string())?;
+                let control = Control::new(conf.settings(), prng).map_err(|e| e.to_string())?;
                 self.gateways.insert(gatekeeper_id, control);
                 return Ok(None);
             }
@@ -447,42 +363,3 @@
 fn report(usage: Usage) -> Report {
     Report { in_flight: usage.outstanding, busy: usage.utilization, served: usage.throughput }
 }
-
-fn settings(conf: Conf) -> Settings {
-    let class = |c: ConfClass| Class {
-        worth: c.worth,
-        aim: c.target,
-        late_worth: c.late_worth,
-        effect: match (c.effect, c.group) {
-            (Word::Repeatable, _) => Effect::Safe,
-            (Word::Once, _) => Effect::Unsafe,
-            (Word::ByKey, Some(GroupWord::Zone)) => Effect::Keyed(Group::Zone),
-            (Word::ByKey, Some(GroupWord::Cell)) => Effect::Keyed(Group::Cell),
-            (Word::ByKey, _) => Effect::Keyed(Group::All),
-        },
-        window: c.window,
-    };
-    let plan = |p: ConfPlan| Plan {
-        rate: p.units_per_s,
-        burst: p.peak_units,
-        open: p.max_out,
-        price: p.value_factor,
-        over_cost: p.over_cost,
-        ceiling_rate: p.cap_rate,
-        ceiling_burst: p.cap_depth,
-        ceiling_slack: p.ceiling_slack,
-    };
-    Settings {
-        me: conf.me,
-        gateways: conf.balancers,
-        zone: conf.zone,
-        classes: conf.classes.into_iter().map(class).collect(),
-        plans: conf.plans.into_iter().map(plan).collect(),
-        max_attempts: conf.bounds.try_limit,
-        notes: conf.bounds.peers,
-        largest: conf.domain.largest,
-        note_intake: conf.domain.peer_intake,
-        cold_from: conf.rules.cold_from,
-        warm_within: conf.rules.warm_within,
-    }
-}
--- /dev/null
+++ b/src/bin/frostvale/clients.rs
@@ -0,0 +1,470 @@
+//! Clients: the listener, pipelined commands, which are begun at once, and answers in their order.
+
+use crate::gateway::{Gateway, Shared};
+use crate::resp::{self, Broken, Command};
+use dewwood::{EffectWord, Name};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::Shutdown;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+/// Commands of one connection that are in hand at once; more wait in the socket.
+const PIPELINE_MOST: usize = 128;
+/// Answers that a client does not read: past this it is closed.
+const UNREAD_MOST: usize = 1 << 20;
+/// Room that a connection keeps between commands.
+const KEPT: usize = 16 * 1024;
+/// After an error a client is given this long to read it: closing over unread input would wipe it out.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// A request as the client wrote it.
+pub struct Ask {
+    /// The whole command, and where in it the list of fields stands, its head included, and `d`'s digits.
+    pub command: Box<[u8]>,
+    head: usize,
+    fields: Range<usize>,
+    deadline: Range<usize>,
+    pub customer: Name,
+    pub class: usize,
+    pub plan: usize,
+    pub units: f64,
+    pub first: u32,
+    pub spread: u32,
+    pub repeat: bool,
+    /// How long the client waits, in ms.
+    pub wait: f64,
+}
+
+impl Ask {
+    /// Writes it for a worker: unchanged but for `d`, which tells how long we wait.
+    pub fn write(&self, wait: u64, out: &mut Vec<u8>) {
+        let mut digits = Vec::with_capacity(20);
+        resp::put_digits(&mut digits, wait);
+        out.extend_from_slice(&self.command[..self.head]);
+        resp::put_number(out, b'$', self.fields.len() - self.deadline.len() + digits.len());
+        out.extend_from_slice(&self.command[self.fields.start..self.deadline.start]);
+        out.extend_from_slice(&digits);
+        out.extend_from_slice(&self.command[self.deadline.end..]);
+    }
+
+    /// Reads a request. The text says which field is bad or missing.
+    fn read(gateway: &Gateway, bytes: &[u8], command: &Command) -> Result<Ask, &'static str> {
+        let hex = |k: usize| {
+            let text = std::str::from_utf8(command.part(bytes, k)).ok()?;
+            if text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()) { Some(text) } else { None }
+        };
+        if !(4..=resp::PARTS).contains(&command.count) {
+            return Err("wrong number of arguments");
+        }
+        let customer = hex(1).ok_or("bad customer")?;
+        if u64::from_str_radix(customer, 16).map_err(|_| "bad customer")? >= 1 << 33 {
+            return Err("bad customer");
+        }
+        hex(2).ok_or("bad id")?;
+        let fields = command.range(3);
+        let text = std::str::from_utf8(&bytes[fields.clone()]).map_err(|_| "bad fields")?;
+        let (mut class, mut plan, mut deadline) = (None, None, None);
+        let (mut units, mut first, mut spread) = (None, None, None);
+        let (mut keyed, mut repeat) = (false, false);
+        let mut at = fields.start;
+        for field in text.split(',') {
+            let (name, value) = field.split_once('=').ok_or("bad fields")?;
+            let place = at + name.len() + 1..at + field.len();
+            at += field.len() + 1;
+            let whole = |text: &str| text.parse::<u32>().ok().filter(|_| text.as_bytes()[0].is_ascii_digit());
+            let again = match name {
+                "c" => class
+                    .replace(gateway.conf.classes.iter().position(|c| c.name == value).ok_or("bad c")?)
+                    .is_some(),
+                "t" => plan
+                    .replace(gateway.conf.plans.iter().position(|p| p.name == value).ok_or("bad t")?)
+                    .is_some(),
+                "d" => {
+                    let ms = whole(value).filter(|ms| (1..=3_600_000).contains(ms)).ok_or("bad d")?;
+                    deadline.replace((f64::from(ms), place)).is_some()
+                }
+                "units" => {
+                    let most = if gateway.settings.largest > 0.0 { gateway.settings.largest } else { 1e6 };
+                    let sound = |x: &f64| x.is_finite() && *x > 0.0 && *x <= most;
+                    units.replace(value.parse::<f64>().ok().filter(sound).ok_or("bad units")?).is_some()
+                }
+                "first" => {
+                    let sound = |k: &u32| *k < gateway.settings.gateways;
+                    first.replace(whole(value).filter(sound).ok_or("bad first")?).is_some()
+                }
+                "spread" => {
+                    let sound = |n: &u32| (1..=gateway.settings.gateways).contains(n);
+                    spread.replace(whole(value).filter(sound).ok_or("bad spread")?).is_some()
+                }
+                "k" if value.is_empty() => return Err("bad k"),
+                "k" => std::mem::replace(&mut keyed, true),
+                "r" => {
+                    repeat = value == "1";
+                    false
+                }
+                _ => false,
+            };
+            if again {
+                return Err("a field stands twice");
+            }
+        }
+        let class = class.ok_or("missing c")?;
+        let effect = gateway.conf.classes[class].effect;
+        if (command.part(bytes, 0) == b"Q.ASK") != (effect == EffectWord::Repeatable) {
+            return Err("not the command of this class");
+        }
+        if effect == EffectWord::ByKey && !keyed {
+            return Err("missing k");
+        }
+        let (wait, deadline) = deadline.ok_or("missing d")?;
+        Ok(Ask {
+            command: bytes[..command.len].into(),
+            // The fields' own head stands between the end of the part before and them.
+            head: command.range(2).end + 2,
+            fields,
+            deadline,
+            customer: customer.into(),
+            class,
+            plan: plan.ok_or("missing t")?,
+            units: units.ok_or("missing units")?,
+            first: first.ok_or("missing first")?,
+            spread: spread.ok_or("missing spread")?,
+            repeat,
+            wait,
+        })
+    }
+}
+
+/// An answer's place in the order of its connection.
+enum Slot {
+    Waiting(u64),
+    Ready(Vec<u8>),
+}
+
+#[derive(Default)]
+struct Out {
+    slots: VecDeque<Slot>,
+    /// What the socket has not taken yet.
+    bytes: Vec<u8>,
+    /// What stands ready behind an answer that is still waited for.
+    ready: usize,
+    broken: bool,
+}
+
+/// A client's connection.
+pub struct Client {
+    stream: TcpStream,
+    out: RefCell<Out>,
+    wake: Notify,
+    /// Whether its task waits for an answer to be given, rather than for input.
+    blocked: Cell<bool>,
+    /// To be closed as soon as nothing is in hand.
+    closing: Cell<bool>,
+    used: Cell<f64>,
+}
+
+impl Client {
+    /// Gives the answer to a request, in its turn.
+    pub fn answer(&self, id: u64, bytes: &[u8]) {
+        let mut out = self.out.borrow_mut();
+        if matches!(out.slots.front(), Some(Slot::Waiting(first)) if *first == id) {
+            out.slots.pop_front();
+            self.write(&mut out, bytes);
+            self.advance(&mut out);
+        } else if let Some(slot) = out.slots.iter_mut().find(|s| matches!(s, Slot::Waiting(k) if *k == id)) {
+            *slot = Slot::Ready(bytes.to_vec());
+            out.ready += bytes.len();
+        }
+        self.check(&mut out);
+    }
+
+    /// Puts an answer that needs no request into its turn.
+    fn say(&self, bytes: &[u8]) {
+        let mut out = self.out.borrow_mut();
+        if out.slots.is_empty() {
+            self.write(&mut out, bytes);
+        } else {
+            out.slots.push_back(Slot::Ready(bytes.to_vec()));
+            out.ready += bytes.len();
+        }
+        self.check(&mut out);
+    }
+
+    /// Writes the answers whose turn has come, in one go.
+    fn advance(&self, out: &mut Out) {
+        let mut all = Vec::new();
+        while matches!(out.slots.front(), Some(Slot::Ready(_)))
+            && let Some(Slot::Ready(bytes)) = out.slots.pop_front()
+        {
+            out.ready -= bytes.len();
+            all.extend_from_slice(&bytes);
+        }
+        if !all.is_empty() {
+            self.write(out, &all);
+        }
+    }
+
+    /// Hands bytes to the socket; what it does not take waits for the connection's task.
+    fn write(&self, out: &mut Out, bytes: &[u8]) {
+        let taken = if out.bytes.is_empty() && !out.broken {
+            match self.stream.try_write(bytes) {
+                Ok(n) => n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
+                Err(_) => {
+                    out.broken = true;
+                    0
+                }
+            }
+        } else {
+            0
+        };
+        out.bytes.extend_from_slice(&bytes[taken..]);
+    }
+
+    fn check(&self, out: &mut Out) {
+        // Who sends and never reads must not fill the memory.
+        out.broken |= out.bytes.len() + out.ready > UNREAD_MOST;
+        if out.broken || !out.bytes.is_empty() || self.blocked.get() || self.closing.get() {
+            self.wake.notify_one();
+        }
+    }
+
+    fn flush(&self) {
+        let mut out = self.out.borrow_mut();
+        match self.stream.try_write(&out.bytes) {
+            Ok(n) if n == out.bytes.len() => out.bytes = Vec::new(),
+            Ok(n) => drop(out.bytes.drain(..n)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => out.broken = true,
+        }
+    }
+
+    /// Whether it stands between requests.
+    fn idle(&self) -> bool {
+        let out = self.out.borrow();
+        out.slots.is_empty() && out.bytes.is_empty()
+    }
+
+    /// Has it closed once nothing is in hand.
+    fn close_soon(&self) {
+        self.closing.set(true);
+        self.wake.notify_one();
+    }
+}
+
+/// All clients' connections.
+pub struct Clients {
+    all: RefCell<HashMap<u64, Rc<Client>>>,
+    most: usize,
+    left: Notify,
+}
+
+impl Clients {
+    pub fn new(most: usize) -> Rc<Clients> {
+        Rc::new(Clients { all: RefCell::default(), most, left: Notify::new() })
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.borrow().is_empty()
+    }
+
+    /// Waits for a connection to end.
+    pub async fn one_left(&self) {
+        self.left.notified().await;
+    }
+
+    /// Has all connections closed, each as soon as it has nothing in hand.
+    pub fn close_soon(&self) {
+        self.all.borrow().values().for_each(|c| c.close_soon());
+    }
+
+    /// Has the connection closed that has been between requests the longest.
+    fn evict(&self) {
+        let all = self.all.borrow();
+        let idle = all.values().filter(|c| !c.closing.get() && c.idle());
+        if let Some(client) = idle.min_by(|a, b| a.used.get().total_cmp(&b.used.get())) {
+            client.close_soon();
+        }
+    }
+
+    /// Takes in connections until it is dropped.
+    pub async fn accept(self: Rc<Self>, listener: &TcpListener, gateway: Shared) {
+        loop {
+            while self.all.borrow().len() >= self.most {
+                self.evict();
+                self.one_left().await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream, &gateway),
+                // Out of descriptors, most likely: make room, and don't spin while there is none.
+                Err(e) => {
+                    eprintln!("frostvale: cannot accept a connection: {e}");
+                    self.evict();
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    fn admit(self: &Rc<Self>, stream: TcpStream, gateway: &Shared) {
+        // Small answers must not wait for acknowledgements; a socket that fails here fails at its first read.
+        let _ = stream.set_nodelay(true);
+        let client = Rc::new(Client {
+            stream,
+            out: RefCell::default(),
+            wake: Notify::new(),
+            blocked: Cell::new(false),
+            closing: Cell::new(false),
+            used: Cell::new(gateway.borrow().now()),
+        });
+        let number = gateway.borrow_mut().next_id();
+        self.all.borrow_mut().insert(number, client.clone());
+        let (clients, gateway) = (self.clone(), gateway.clone());
+        tokio::task::spawn_local(async move {
+            serve(&gateway, &client).await;
+            let waiting = std::mem::take(&mut client.out.borrow_mut().slots);
+            for slot in waiting {
+                if let Slot::Waiting(id) = slot {
+                    gateway.borrow_mut().left(id);
+                }
+            }
+            clients.all.borrow_mut().remove(&number);
+            drop(client);
+            clients.left.notify_one();
+        });
+    }
+}
+
+/// Serves one connection until either side ends it.
+async fn serve(gateway: &Shared, client: &Rc<Client>) {
+    let mut bytes: Vec<u8> = Vec::new();
+    loop {
+        let (waiting, unread) = {
+            let out = client.out.borrow();
+            if out.broken {
+                return;
+            }
+            (out.slots.len(), !out.bytes.is_empty())
+        };
+        // What came while the line was full is taken up when there is room again.
+        let room = waiting < PIPELINE_MOST;
+        if room && !bytes.is_empty() {
+            match take(gateway, client, &mut bytes) {
+                Ok(true) => continue,
+                Ok(false) => {}
+                Err(broken) => return refuse(client, &broken).await,
+            }
+        }
+        let closing = client.closing.get();
+        if closing && client.idle() {
+            // A request that is here already is served; closing over it would also wipe out the last answer.
+            match client.stream.try_read_buf(&mut bytes) {
+                Ok(n) if n > 0 => continue,
+                _ => return,
+            }
+        }
+        client.blocked.set(!room);
+        tokio::select! {
+            ready = client.stream.readable(), if room && !(closing && waiting > 0) => {
+                if ready.is_err() {
+                    return;
+                }
+                bytes.reserve(2048);
+                match client.stream.try_read_buf(&mut bytes) {
+                    Ok(0) => return,
+                    Ok(_) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+            _ = client.stream.writable(), if unread => client.flush(),
+            () = client.wake.notified() => {}
+        }
+    }
+}
+
+/// Begins every whole command in the bytes, as far as there is room in the line. Whether there was any.
+fn take(gateway: &Shared, client: &Rc<Client>, bytes: &mut Vec<u8>) -> Result<bool, Broken> {
+    let mut at = 0;
+    let ended = loop {
+        if client.out.borrow().slots.len() >= PIPELINE_MOST {
+            break Ok(());
+        }
+        match resp::command(&bytes[at..]) {
+            Ok(Some(command)) => {
+                begin(gateway, client, &bytes[at..], &command);
+                at += command.len;
+            }
+            Ok(None) => break Ok(()),
+            Err(broken) => break Err(broken),
+        }
+    };
+    if at == bytes.len() && bytes.capacity() > KEPT {
+        *bytes = Vec::new();
+    } else {
+        bytes.drain(..at);
+    }
+    ended.map(|()| at > 0)
+}
+
+fn begin(gateway: &Shared, client: &Rc<Client>, bytes: &[u8], command: &Command) {
+    let name = command.part(bytes, 0);
+    if name == b"Q.ASK" || name == b"Q.DO" {
+        let ask = Ask::read(&gateway.borrow(), bytes, command);
+        match ask {
+            Ok(ask) => {
+                let mut gateway = gateway.borrow_mut();
+                client.used.set(gateway.now());
+                if !gateway.has_room(ask.command.len()) {
+                    return client.say(b"-BUSY\r\n");
+                }
+                let id = gateway.next_id();
+                client.out.borrow_mut().slots.push_back(Slot::Waiting(id));
+                gateway.request(id, ask, client.clone());
+            }
+            Err(what) => client.say(format!("-ERR {what}\r\n").as_bytes()),
+        }
+    } else if name.eq_ignore_ascii_case(b"PING") {
+        let mut echo = Vec::new();
+        match command.count {
+            1 => echo.extend_from_slice(b"+PONG\r\n"),
+            _ => resp::put_bulk(&mut echo, command.part(bytes, 1)),
+        }
+        client.say(&echo);
+    } else {
+        client.say(b"-ERR unknown command\r\n");
+    }
+}
+
+/// Says what was wrong, once all before it is answered, and closes.
+async fn refuse(client: &Rc<Client>, broken: &Broken) {
+    client.say(format!("-ERR protocol error: {}\r\n", broken.0).as_bytes());
+    client.blocked.set(true);
+    while !client.idle() && !client.out.borrow().broken {
+        let unread = !client.out.borrow().bytes.is_empty();
+        tokio::select! {
+            _ = client.stream.writable(), if unread => client.flush(),
+            () = client.wake.notified() => {}
+        }
+    }
+    let _ = SockRef::from(&client.stream).shutdown(Shutdown::Write);
+    let read_on = async {
+        let mut waste = [0u8; 4096];
+        while client.stream.readable().await.is_ok() {
+            match client.stream.try_read(&mut waste) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    };
+    let _ = timeout(LINGER, read_on).await;
+}
--- /dev/null
+++ b/src/bin/frostvale/config.rs
@@ -0,0 +1,99 @@
+//! What the gatekeeper is told: GW_CONFIG and the variables that stand beside it.
+
+use crate::discovery::{self, Listed};
+use dewwood::{Conf, Settings};
+use serde::Deserialize;
+use std::env;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    listen: String,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    peer_listen: String,
+    #[serde(default)]
+    peers: Vec<String>,
+    #[serde(default)]
+    known: serde_json::Value,
+    settings: Conf,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+    memory_mb: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024, memory_mb: 192 }
+    }
+}
+
+/// All that one gatekeeper is told.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory: usize,
+    /// Where notes arrive, if notes are allowed.
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    /// The list of workers as it was last had.
+    pub known: Option<Listed>,
+    pub conf: Conf,
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand over it.
+    pub fn read() -> Result<Config, String> {
+        let path = env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration file".to_string())?;
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let told = |name: &str, other: String| env::var(name).ok().filter(|v| !v.is_empty()).unwrap_or(other);
+        let settings = file.settings.settings();
+        settings.check().map_err(|e| format!("{path}: {e}"))?;
+        if settings.me >= settings.gateways {
+            return Err(format!(
+                "{path}: settings: Me is {} of {} gatekeepers",
+                settings.me, settings.gateways
+            ));
+        }
+        // A new start must not draw the lots of the last one, nor those of its peers.
+        let seed = u64::from_str_radix(file.seed.trim(), 16).map_err(|e| format!("{path}: seed: {e}"))?;
+        let peers = file.peers.iter().map(|p| address("peers", p)).collect::<Result<Vec<_>, _>>()?;
+        let peer_listen = (settings.notes && !file.peer_listen.is_empty())
+            .then(|| address("peer_listen", &file.peer_listen))
+            .transpose()?;
+        Ok(Config {
+            name: told("GW_NAME", file.name),
+            listen: address("listen", &told("GW_LISTEN", file.listen))?,
+            discovery: address("discovery", &told("GW_DISCOVERY", file.discovery))?,
+            seed,
+            sockets: file.limits.sockets.clamp(64, 1 << 20),
+            memory: file.limits.memory_mb.clamp(32, 1 << 20) << 20,
+            peer_listen,
+            peers,
+            known: discovery::listed(&file.known),
+            conf: file.settings,
+            settings,
+        })
+    }
+}
+
+fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what}: {text:?} is not an address and port"))
+}
--- /dev/null
+++ b/src/bin/frostvale/gateway.rs
@@ -0,0 +1,544 @@
+//! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
+//! attempts and one queue of timers for all of them. It decides nothing: `dewwood::Control` does.
+
+use crate::clients::{Ask, Client};
+use crate::config::Config;
+use crate::discovery::Listed;
+use crate::peers::Peers;
+use crate::resp::{self, Reply};
+use crate::workers::{self, Conn, Place, Workers};
+use dewwood::*;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout};
+
+/// The one owner of all state; every task borrows it for the length of one call.
+pub type Shared = Rc<RefCell<Gateway>>;
+
+/// A client's time runs from when it sent: the answer's way back, and ours through a busy core, need some.
+const MARGIN_MS: f64 = 6.0;
+/// A request without an answer this long after the module's own limit is failed: no client goes without.
+const OVERDUE_MS: f64 = 3.0;
+/// Pooled connections are closed after this part of the time at which workers close them.
+const IDLE_PART: f64 = 0.5;
+/// The part of the memory that commands in hand may take.
+const HELD_PART: usize = 4;
+
+/// Milliseconds of Unix time as of the start, moved on by the monotonic clock: workers' start times can be
+/// compared with it, and it never steps back.
+struct Clock {
+    start: Instant,
+    unix_ms: f64,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+    }
+
+    fn now(&self) -> f64 {
+        self.unix_ms + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn instant(&self, at: f64) -> Instant {
+        self.start + Duration::from_secs_f64(((at - self.unix_ms) / 1000.0).clamp(0.0, 1e6))
+    }
+}
+
+/// A request in hand: until its final answer, and after that while an attempt is still out.
+struct InHand {
+    ask: Ask,
+    /// Who is owed the answer; none once it is given or the client has left.
+    client: Option<Rc<Client>>,
+    attempts: u32,
+    attempt: Option<Attempt>,
+}
+
+/// The one attempt that may be out.
+struct Attempt {
+    number: u32,
+    server: Name,
+    started: f64,
+    not_past: f64,
+    /// Its connection once there is one.
+    conn: Option<Rc<Conn>>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer(u64),
+    Attempt(u64, u32),
+    Answer(u64),
+    Sweep,
+}
+
+pub struct Gateway {
+    me: Weak<RefCell<Gateway>>,
+    control: Control,
+    clock: Clock,
+    pub conf: Conf,
+    pub settings: Settings,
+    requests: HashMap<u64, InHand>,
+    last_id: u64,
+    held: usize,
+    held_most: usize,
+    workers: Workers,
+    peers: Option<Peers>,
+    events: VecDeque<Event>,
+    pumping: bool,
+    /// What is due when, in microseconds of the clock.
+    due: BinaryHeap<Reverse<(u64, Due)>>,
+    sooner: Rc<Notify>,
+    slept_for: u64,
+    /// Told when discovery has given its first list.
+    pub news: Rc<Notify>,
+    scratch: Vec<u8>,
+}
+
+impl Gateway {
+    pub fn new(config: Config, peers: Option<Peers>, connections: usize) -> Result<Shared, SettingsError> {
+        let control = Control::new(config.settings.clone(), config.seed)?;
+        let gateway = Rc::new_cyclic(|me| {
+            RefCell::new(Gateway {
+                me: me.clone(),
+                control,
+                clock: Clock::new(),
+                conf: config.conf,
+                settings: config.settings,
+                requests: HashMap::new(),
+                last_id: 0,
+                held: 0,
+                held_most: config.memory / HELD_PART,
+                workers: Workers::new(connections),
+                peers,
+                events: VecDeque::new(),
+                pumping: false,
+                due: BinaryHeap::new(),
+                sooner: Rc::default(),
+                slept_for: u64::MAX,
+                news: Rc::default(),
+                scratch: Vec::new(),
+            })
+        });
+        gateway.borrow_mut().sweep();
+        Ok(gateway)
+    }
+
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// Whether nobody is owed an answer.
+    pub fn settled(&self) -> bool {
+        self.requests.values().all(|r| r.client.is_none())
+    }
+
+    // ---- what happens outside ----
+
+    /// News of the workers.
+    pub fn listed(&mut self, list: Listed) {
+        let over = self.workers.listed(&list);
+        let number = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).unwrap_or(names.len()).try_into().unwrap_or(u32::MAX)
+        };
+        let server = |t: &crate::discovery::Target| Server {
+            name: t.uid.as_str().into(),
+            zone: number(&self.conf.areas, &t.zone),
+            cell: t.cell,
+            kind: number(&self.conf.kinds, &t.model),
+            size: t.size,
+            health: t.health,
+            since: t.boot_ms,
+        };
+        let servers = list.targets.iter().map(server).collect();
+        let listing = if list.all { Listing::Complete } else { Listing::Changes };
+        self.event(Event::Servers { listing, servers });
+        // What was out at a worker that has restarted since is never answered, and its connection is
+        // half open if the whole machine went.
+        let lost: Vec<u64> =
+            self.requests.iter().filter(|(_, r)| r.lives_in(&over)).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.give_up(id, Ending::Reset);
+        }
+        self.news.notify_one();
+    }
+
+    /// A note from another gatekeeper.
+    pub fn note(&mut self, from: u32, text: &str) {
+        self.event(Event::Note { from, text: text.into() });
+    }
+
+    /// A number for a request, never used twice. The wire's ids are the clients': they may come again.
+    pub fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    /// Whether one more request of this size can be held. Past it requests are turned away unseen, as the
+    /// settings' most open requests demand and the memory does.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.requests.len() < self.conf.bounds.max_open && self.held + bytes <= self.held_most
+    }
+
+    /// A request came in whole.
+    pub fn request(&mut self, id: u64, ask: Ask, client: Rc<Client>) {
+        let give_up = self.now() + ask.wait - MARGIN_MS;
+        let request = Request {
+            id,
+            customer: ask.customer.clone(),
+            class: ask.class,
+            plan: ask.plan,
+            units: ask.units,
+            first: ask.first,
+            spread: ask.spread,
+            give_up,
+            repeat: ask.repeat,
+        };
+        self.held += ask.command.len();
+        self.requests.insert(id, InHand { ask, client: Some(client), attempts: 0, attempt: None });
+        self.at(give_up + OVERDUE_MS, Due::Answer(id));
+        self.event(Event::Request(request));
+    }
+
+    /// A client went away with this request open. Nothing more goes out for it.
+    pub fn left(&mut self, id: u64) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if r.client.take().is_none() {
+            return;
+        }
+        let unsent = r.attempt.as_ref().is_some_and(|a| a.conn.is_none());
+        self.event(Event::Left { id });
+        if unsent {
+            self.end(id, Ending::Moot, None);
+        }
+        self.tidy(id);
+    }
+
+    /// A worker answered on a connection. `clean`: with nothing behind it.
+    pub fn answered(&mut self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
+        let Some(id) = conn.busy.take() else { return };
+        if clean && conn.written.get() {
+            self.workers.keep(conn, self.clock.now());
+        } else {
+            conn.close();
+        }
+        match reply {
+            Reply::Served { value, report } => {
+                if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
+                    client.answer(id, &bytes[value]);
+                }
+                self.end(id, Ending::Ok, report.and_then(|at| workers::report(&bytes[at])));
+            }
+            Reply::Error(line) => {
+                let line = &bytes[line];
+                let mut words = line.split(|b| *b == b' ');
+                let full = words.next() == Some(b"BUSY");
+                let report = words.next_back().and_then(workers::report);
+                self.end(id, if full { Ending::Full } else { Ending::Error }, report);
+            }
+        }
+    }
+
+    /// A connection to a worker has ended, perhaps over bytes that are no answer.
+    pub fn worker_closed(&mut self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
+        self.workers.forget(conn);
+        if let Some(what) = spoilt {
+            eprintln!("frostvale: {} answered badly: {what}", conn.worker);
+        }
+        if let Some(id) = conn.busy.get() {
+            self.give_up(id, Ending::Reset);
+        }
+    }
+
+    // ---- the module ----
+
+    fn event(&mut self, event: Event) {
+        self.events.push_back(event);
+        // An action that ends at once brings an event of its own, which waits for its turn here.
+        if std::mem::replace(&mut self.pumping, true) {
+            return;
+        }
+        while let Some(event) = self.events.pop_front() {
+            let now = self.clock.now();
+            for action in self.control.handle(now, event) {
+                self.act(action, now);
+            }
+        }
+        self.pumping = false;
+    }
+
+    fn act(&mut self, action: Action, now: f64) {
+        match action {
+            Action::Send { id, server, not_past } => self.send(id, server, not_past, now),
+            Action::Refuse { id, pause } => {
+                let mut line = b"-BUSY".to_vec();
+                if pause >= 1.0 {
+                    line.push(b' ');
+                    resp::put_digits(&mut line, pause as u64);
+                }
+                line.extend_from_slice(b"\r\n");
+                self.answer(id, &line);
+            }
+            Action::Fail { id } => self.answer(id, b"-ERR failed\r\n"),
+            Action::Cancel { id, attempt } => {
+                let out = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+                if out.is_some_and(|a| a.number == attempt) {
+                    self.give_up(id, Ending::Cancelled);
+                }
+            }
+            Action::Tell { to, text } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &text);
+                }
+            }
+            Action::SetTimer { token, after } => self.at(now + after, Due::Timer(token)),
+            Action::Log { text } => eprintln!("frostvale: {text}"),
+            // Workers are not probed.
+            Action::Probe { .. } => {}
+        }
+    }
+
+    /// Gives a final answer that no worker made.
+    fn answer(&mut self, id: u64, line: &[u8]) {
+        if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
+            client.answer(id, line);
+        }
+        self.tidy(id);
+    }
+
+    /// Forgets a request that nobody waits for and that has nothing out.
+    fn tidy(&mut self, id: u64) {
+        if self.requests.get(&id).is_some_and(|r| r.client.is_none() && r.attempt.is_none())
+            && let Some(r) = self.requests.remove(&id)
+        {
+            self.held -= r.ask.command.len();
+        }
+    }
+
+    // ---- attempts ----
+
+    fn send(&mut self, id: u64, server: Name, not_past: f64, now: f64) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let number = r.attempts;
+        r.attempts += 1;
+        r.attempt = Some(Attempt { number, server: server.clone(), started: now, not_past, conn: None });
+        if not_past <= now || r.client.is_none() {
+            return self.end(id, Ending::Moot, None);
+        }
+        self.at(not_past, Due::Attempt(id, number));
+        // A connection that breaks before anything is written has cost nothing: the next one is as good.
+        while let Some(conn) = self.workers.take(&server) {
+            if self.begin(id, &conn) {
+                return;
+            }
+        }
+        let worker = self.workers.get(&server).filter(|w| w.health == Health::Up);
+        let Some((address, life)) = worker.map(|w| (w.address, w.life)) else {
+            return self.end(id, Ending::Unreachable, None);
+        };
+        let (Some(place), Some(gateway)) = (self.workers.place(), self.me.upgrade()) else {
+            return self.end(id, Ending::Unreachable, None);
+        };
+        let most = Duration::from_secs_f64(self.conf.bounds.connect_timeout.clamp(1.0, 60_000.0) / 1000.0);
+        tokio::task::spawn_local(async move {
+            // A machine that has vanished never answers: the settings say how long to try.
+            let stream = timeout(most, TcpStream::connect(address)).await.ok().and_then(Result::ok);
+            gateway.borrow_mut().connected(id, number, server, life, place, stream);
+        });
+    }
+
+    fn connected(
+        &mut self,
+        id: u64,
+        number: u32,
+        server: Name,
+        life: u64,
+        place: Place,
+        stream: Option<TcpStream>,
+    ) {
+        let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+        let waits = attempt.is_some_and(|a| a.number == number && a.conn.is_none());
+        let conn = stream.map(|stream| Conn::new(stream, server, life, place));
+        if let (Some(conn), Some(gateway)) = (&conn, self.me.upgrade()) {
+            conn.listen(gateway);
+        }
+        match conn {
+            // The worker may have begun to drain, or have restarted, while this took its time: `begin` looks.
+            Some(conn) if waits => {
+                let begun = self.begin(id, &conn);
+                if !begun {
+                    self.end(id, Ending::Unreachable, None);
+                }
+            }
+            Some(conn) => self.workers.keep(&conn, self.clock.now()),
+            None if waits => self.end(id, Ending::Unreachable, None),
+            None => {}
+        }
+    }
+
+    /// Whether something new may go out on a connection.
+    fn usable(&self, conn: &Conn) -> bool {
+        self.workers.get(&conn.worker).is_some_and(|w| w.health == Health::Up && w.life == conn.life)
+    }
+
+    /// Writes the command. False if the connection broke before a byte was taken.
+    fn begin(&mut self, id: u64, conn: &Rc<Conn>) -> bool {
+        let now = self.clock.now();
+        let usable = self.usable(conn);
+        let Some(r) = self.requests.get_mut(&id) else { return false };
+        let Some(attempt) = &mut r.attempt else { return false };
+        if !usable {
+            conn.close();
+            return false;
+        }
+        let mut bytes = std::mem::take(&mut self.scratch);
+        bytes.clear();
+        r.ask.write((attempt.not_past - now).max(1.0) as u64, &mut bytes);
+        let sent = match conn.stream.try_write(&bytes) {
+            Ok(n) => n,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
+            Err(_) => {
+                conn.close();
+                self.scratch = bytes;
+                return false;
+            }
+        };
+        attempt.conn = Some(conn.clone());
+        conn.busy.set(Some(id));
+        conn.written.set(sent == bytes.len());
+        if sent < bytes.len()
+            && let Some(gateway) = self.me.upgrade()
+        {
+            let (conn, rest) = (conn.clone(), bytes[sent..].to_vec());
+            tokio::task::spawn_local(async move {
+                let whole = conn.write_rest(&rest).await.is_ok();
+                if conn.busy.get() == Some(id) {
+                    conn.written.set(whole);
+                    if !whole {
+                        gateway.borrow_mut().give_up(id, Ending::Unreachable);
+                    }
+                }
+            });
+        }
+        self.scratch = bytes;
+        true
+    }
+
+    /// Closes the attempt's connection, so that nothing late can be taken for another answer, and ends it.
+    fn give_up(&mut self, id: u64, ending: Ending) {
+        let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+        let Some(conn) = attempt.map(|a| a.conn.clone()) else { return };
+        let Some(conn) = conn else { return self.end(id, Ending::Unreachable, None) };
+        conn.busy.set(None);
+        conn.close();
+        // With its last byte unwritten the worker can't have begun.
+        self.end(id, if conn.written.get() { ending } else { Ending::Unreachable }, None);
+    }
+
+    /// The attempt has ended; the module hears of it.
+    fn end(&mut self, id: u64, ending: Ending, report: Option<Report>) {
+        let now = self.clock.now();
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = r.attempt.take() else { return };
+        let outcome = Outcome {
+            id,
+            attempt: attempt.number,
+            server: attempt.server,
+            ending,
+            latency: (now - attempt.started).max(0.0),
+            last: r.client.is_none(),
+            metered: None,
+            units: None,
+            report,
+        };
+        self.event(Event::Outcome(outcome));
+        self.tidy(id);
+    }
+
+    // ---- time ----
+
+    fn at(&mut self, at: f64, due: Due) {
+        let at = (at * 1000.0).max(0.0) as u64;
+        self.due.push(Reverse((at, due)));
+        if at < self.slept_for {
+            self.sooner.notify_one();
+        }
+    }
+
+    fn sweep(&mut self) {
+        let idle = self.conf.bounds.conn_idle * IDLE_PART;
+        let now = self.now();
+        self.workers.sweep(now - idle);
+        self.at(now + (idle / 8.0).clamp(50.0, 2000.0), Due::Sweep);
+    }
+
+    /// Does what is due, and gives the time of what comes next.
+    fn run_due(&mut self) -> Option<Instant> {
+        loop {
+            let now = (self.now() * 1000.0) as u64;
+            match self.due.peek() {
+                None => {
+                    self.slept_for = u64::MAX;
+                    return None;
+                }
+                Some(Reverse((at, _))) if *at > now => {
+                    self.slept_for = *at;
+                    return Some(self.clock.instant(*at as f64 / 1000.0));
+                }
+                Some(_) => {}
+            }
+            let Some(Reverse((_, due))) = self.due.pop() else { continue };
+            match due {
+                Due::Timer(token) => self.event(Event::Timer { token }),
+                Due::Attempt(id, number) => {
+                    let out = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+                    if out.is_some_and(|a| a.number == number) {
+                        self.give_up(id, Ending::Timeout);
+                    }
+                }
+                Due::Answer(id) => {
+                    if self.requests.get(&id).is_some_and(|r| r.client.is_some()) {
+                        eprintln!("frostvale: a request was not settled in time");
+                        if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
+                            client.answer(id, b"-ERR failed\r\n");
+                        }
+                        self.event(Event::Left { id });
+                        self.tidy(id);
+                    }
+                }
+                Due::Sweep => self.sweep(),
+            }
+        }
+    }
+
+    /// The task that wakes for all timers.
+    pub async fn keep_time(gateway: Shared) {
+        let sooner = gateway.borrow().sooner.clone();
+        loop {
+            let next = gateway.borrow_mut().run_due();
+            match next {
+                Some(at) => {
+                    tokio::select! {
+                        () = sleep_until(at.into()) => {}
+                        () = sooner.notified() => {}
+                    }
+                }
+                None => sooner.notified().await,
+            }
+        }
+    }
+}
+
+impl InHand {
+    /// Whether it has an attempt out at one of these workers.
+    fn lives_in(&self, workers: &[Name]) -> bool {
+        self.attempt.as_ref().is_some_and(|a| a.conn.is_some() && workers.contains(&a.server))
+    }
+}
--- /dev/null
+++ b/src/bin/frostvale/peers.rs
@@ -0,0 +1,48 @@
+//! Notes between gatekeepers: one UDP socket, datagrams of at most 256 bytes.
+
+use crate::gateway::Shared;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// A longer datagram voids the run, and none is taken in.
+pub const NOTE_MOST: usize = 256;
+
+/// The way to the other gatekeepers of the tier.
+#[derive(Clone)]
+pub struct Peers {
+    socket: Rc<UdpSocket>,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Peers {
+    pub async fn bind(listen: SocketAddr, addresses: Vec<SocketAddr>) -> std::io::Result<Peers> {
+        Ok(Peers { socket: Rc::new(UdpSocket::bind(listen).await?), addresses })
+    }
+
+    /// Sends a note if the socket takes it now. Notes may be lost, so nothing waits for one.
+    pub fn tell(&self, to: u32, text: &str) {
+        if let Some(address) = self.addresses.get(to as usize)
+            && text.len() <= NOTE_MOST
+        {
+            let _ = self.socket.try_send_to(text.as_bytes(), *address);
+        }
+    }
+
+    /// The task that takes notes in.
+    pub async fn listen(self, gateway: Shared, me: u32) {
+        let mut bytes = [0u8; NOTE_MOST + 1];
+        loop {
+            // An error here is an earlier note that could not be delivered: nothing to act on.
+            let Ok((len, from)) = self.socket.recv_from(&mut bytes).await else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            // Only peers are heard, and only in words that may be a note.
+            let known = self.addresses.iter().position(|a| *a == from).and_then(|k| u32::try_from(k).ok());
+            let Some(from) = known.filter(|k| *k != me && len <= NOTE_MOST) else { continue };
+            let Ok(text) = std::str::from_utf8(&bytes[..len]) else { continue };
+            gateway.borrow_mut().note(from, text);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/frostvale/resp.rs
@@ -0,0 +1,248 @@
+//! RESP2, as far as clients and workers speak it: bounded parsing that copies nothing, and encoding.
+
+use std::ops::Range;
+
+/// The longest value the protocol allows.
+pub const VALUE_MOST: usize = 64 * 1024;
+/// Parts of a command that are kept; a longer one is read to its end and known as unknown.
+pub const PARTS: usize = 5;
+/// A longer array is not read to its end.
+const PARTS_MOST: usize = 64;
+/// The bytes of all parts of a command: no useful one is longer.
+pub const COMMAND_MOST: usize = VALUE_MOST + 8 * 1024;
+/// The longest line with a length or an error.
+const LINE_MOST: usize = 1024;
+
+/// Bytes that are not RESP, or go past its bounds.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Broken(pub &'static str);
+
+/// A command: where its parts lie in the bytes read.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Command {
+    parts: [(usize, usize); PARTS],
+    /// How many parts it has, also those past the kept ones.
+    pub count: usize,
+    /// How many bytes it takes.
+    pub len: usize,
+}
+
+impl Command {
+    /// The part's place in the bytes; empty where there is none.
+    pub fn range(&self, k: usize) -> Range<usize> {
+        if k < self.count.min(PARTS) { self.parts[k].0..self.parts[k].1 } else { 0..0 }
+    }
+
+    /// The part's bytes.
+    pub fn part<'a>(&self, bytes: &'a [u8], k: usize) -> &'a [u8] {
+        bytes.get(self.range(k)).unwrap_or_default()
+    }
+}
+
+/// What a worker answered: places in the bytes read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Served: the whole bulk string of the value, head and end included, and the load report.
+    Served { value: Range<usize>, report: Option<Range<usize>> },
+    /// An error line, without its sign and end.
+    Error(Range<usize>),
+}
+
+/// The line that starts at `at`: its end, and where the next begins. None while it is not whole.
+fn line(bytes: &[u8], at: usize) -> Result<Option<(usize, usize)>, Broken> {
+    let rest = bytes.get(at..).unwrap_or_default();
+    let seen = &rest[..rest.len().min(LINE_MOST)];
+    match seen.iter().position(|b| *b == b'\n') {
+        Some(end) if end > 0 && seen[end - 1] == b'\r' => Ok(Some((at + end - 1, at + end + 1))),
+        Some(_) => Err(Broken("a line without CR LF")),
+        None if rest.len() >= LINE_MOST => Err(Broken("a line is too long")),
+        None => Ok(None),
+    }
+}
+
+/// A number that may be -1 at the least, as a line with this sign in front holds it.
+fn number(bytes: &[u8], at: usize, sign: u8) -> Result<Option<(i64, usize)>, Broken> {
+    match bytes.get(at) {
+        None => return Ok(None),
+        Some(b) if *b != sign => return Err(Broken("an unexpected type")),
+        Some(_) => {}
+    }
+    let Some((end, next)) = line(bytes, at + 1)? else { return Ok(None) };
+    let digits = &bytes[at + 1..end];
+    if digits == b"-1" {
+        return Ok(Some((-1, next)));
+    }
+    // Ten digits can't overflow, and a sign or a space is no digit.
+    if digits.is_empty() || digits.len() > 10 || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(Broken("a length is no number"));
+    }
+    Ok(Some((digits.iter().fold(0, |n, d| n * 10 + i64::from(d - b'0')), next)))
+}
+
+/// A bulk string: its bytes' place (None for null), and where the next value begins.
+type Bulk = (Option<Range<usize>>, usize);
+
+fn bulk(bytes: &[u8], at: usize) -> Result<Option<Bulk>, Broken> {
+    let Some((len, start)) = number(bytes, at, b'$')? else { return Ok(None) };
+    let Ok(len) = usize::try_from(len) else { return Ok(Some((None, start))) };
+    if len > VALUE_MOST {
+        return Err(Broken("a value is too long"));
+    }
+    let end = start + len;
+    match bytes.get(end..end + 2) {
+        Some(b"\r\n") => Ok(Some((Some(start..end), end + 2))),
+        Some(_) => Err(Broken("a value does not end where it should")),
+        None => Ok(None),
+    }
+}
+
+/// The command at the beginning of the bytes; none while it is not whole.
+pub fn command(bytes: &[u8]) -> Result<Option<Command>, Broken> {
+    let Some((count, mut at)) = number(bytes, 0, b'*')? else { return Ok(None) };
+    let count = usize::try_from(count).ok().filter(|n| (1..=PARTS_MOST).contains(n));
+    let count = count.ok_or(Broken("a command with no parts or too many"))?;
+    let mut parts = [(0, 0); PARTS];
+    for k in 0..count {
+        let Some((place, next)) = bulk(bytes, at)? else {
+            return if bytes.len() > COMMAND_MOST { Err(Broken("a command is too long")) } else { Ok(None) };
+        };
+        let place = place.ok_or(Broken("a part is null"))?;
+        if let Some(part) = parts.get_mut(k) {
+            *part = (place.start, place.end);
+        }
+        at = next;
+    }
+    if at > COMMAND_MOST {
+        return Err(Broken("a command is too long"));
+    }
+    Ok(Some(Command { parts, count, len: at }))
+}
+
+/// The worker's answer at the beginning of the bytes, and how long it is; none while it is not whole.
+pub fn reply(bytes: &[u8]) -> Result<Option<(Reply, usize)>, Broken> {
+    match bytes.first() {
+        None => Ok(None),
+        Some(b'-') => Ok(line(bytes, 1)?.map(|(end, next)| (Reply::Error(1..end), next))),
+        Some(_) => {
+            let Some((count, start)) = number(bytes, 0, b'*')? else { return Ok(None) };
+            if count != 3 {
+                return Err(Broken("an answer that has not three parts"));
+            }
+            let Some((value, used)) = bulk(bytes, start)? else { return Ok(None) };
+            value.ok_or(Broken("an answer without a value"))?;
+            let Some((_, report)) = bulk(bytes, used)? else { return Ok(None) };
+            let Some((report, end)) = bulk(bytes, report)? else { return Ok(None) };
+            Ok(Some((Reply::Served { value: start..used, report }, end)))
+        }
+    }
+}
+
+/// Appends a bulk string.
+pub fn put_bulk(out: &mut Vec<u8>, bytes: &[u8]) {
+    put_number(out, b'$', bytes.len());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends a line with a number.
+pub fn put_number(out: &mut Vec<u8>, sign: u8, number: usize) {
+    out.push(sign);
+    put_digits(out, number as u64);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends a number's digits.
+pub fn put_digits(out: &mut Vec<u8>, mut number: u64) {
+    let mut digits = [0u8; 20];
+    let mut at = digits.len();
+    loop {
+        at -= 1;
+        digits[at] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            break;
+        }
+    }
+    out.extend_from_slice(&digits[at..]);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ASK: &[u8] = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n";
+
+    #[test]
+    fn a_command_is_read_only_when_whole() {
+        for cut in 0..ASK.len() {
+            assert_eq!(command(&ASK[..cut]), Ok(None), "{cut} bytes");
+        }
+        let read = command(ASK).expect("sound").expect("whole");
+        assert_eq!(
+            (read.count, read.len, read.part(ASK, 0), read.part(ASK, 1)),
+            (2, ASK.len(), &b"PING"[..], &b""[..])
+        );
+        assert_eq!(read.part(ASK, 9), b"");
+    }
+
+    #[test]
+    fn what_is_no_command_is_broken_at_once() {
+        let cases: [&[u8]; 9] = [
+            b"GET / HTTP/1.1\r\n",
+            b"*0\r\n",
+            b"*-1\r\n",
+            b"*99\r\n",
+            b"*1\r\n$-1\r\n",
+            b"*1\r\n$65537\r\n",
+            b"*1\r\n$99999999999999999999\r\n",
+            b"*1\r\n$2\r\nabcd",
+            b"*1\n$1\r\na\r\n",
+        ];
+        for bytes in cases {
+            assert!(command(bytes).is_err(), "{}", String::from_utf8_lossy(bytes));
+        }
+        assert!(command(&[b"*".as_slice(), &[b'1'; 2000]].concat()).is_err(), "a line without an end");
+    }
+
+    #[test]
+    fn an_answer_gives_its_value_and_report() {
+        let bytes = b"*3\r\n$2\r\nhi\r\n$-1\r\n$8\r\nutil=0.5\r\n";
+        for cut in 0..bytes.len() {
+            assert_eq!(reply(&bytes[..cut]), Ok(None), "{cut} bytes");
+        }
+        let (read, len) = reply(bytes).expect("sound").expect("whole");
+        let Reply::Served { value, report: Some(report) } = read else { panic!("served") };
+        assert_eq!(
+            (len, &bytes[value], &bytes[report]),
+            (bytes.len(), &b"$2\r\nhi\r\n"[..], &b"util=0.5"[..])
+        );
+        let (read, _) = reply(b"-BUSY\r\n").expect("sound").expect("whole");
+        assert_eq!(read, Reply::Error(1..5));
+    }
+
+    #[test]
+    fn a_spoilt_answer_is_broken() {
+        for bytes in [
+            &b"+OK\r\n"[..],
+            b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+            b"*2\r\n$1\r\na\r\n",
+            b"$1\r\na\r\n",
+            b"*3\r\n$x\r\n",
+        ] {
+            assert!(reply(bytes).is_err(), "{}", String::from_utf8_lossy(bytes));
+        }
+    }
+
+    #[test]
+    fn numbers_are_written_out() {
+        let mut out = Vec::new();
+        for n in [0, 7, 10, u64::MAX] {
+            put_digits(&mut out, n);
+            out.push(b' ');
+        }
+        assert_eq!(out, b"0 7 10 18446744073709551615 ");
+        let mut out = Vec::new();
+        put_bulk(&mut out, b"abc");
+        assert_eq!(out, b"$3\r\nabc\r\n");
+    }
+}
--- /dev/null
+++ b/src/bin/frostvale/workers.rs
@@ -0,0 +1,262 @@
+//! Workers: what the list says of each, their pooled connections, and the reading of answers.
+//! A connection carries one attempt at a time, so that giving up one can close it.
+
+use crate::discovery::{Listed, Target};
+use crate::gateway::Shared;
+use crate::resp::{self, VALUE_MOST};
+use dewwood::{Health, Name, Report};
+use socket2::SockRef;
+use std::cell::{Cell, OnceCell};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// A whole answer: a value, and a little for the report and the figures on use.
+const ANSWER_MOST: usize = VALUE_MOST + 4096;
+/// Room that a connection keeps between answers.
+const KEPT: usize = 8 * 1024;
+
+/// A connection to a worker.
+pub struct Conn {
+    pub stream: TcpStream,
+    pub worker: Name,
+    /// The life of the worker it was made in.
+    pub life: u64,
+    /// The request whose attempt it carries.
+    pub busy: Cell<Option<u64>>,
+    /// Whether the attempt's last byte is written: before that it surely never ran.
+    pub written: Cell<bool>,
+    pub idle_since: Cell<f64>,
+    task: OnceCell<AbortHandle>,
+    _place: Place,
+}
+
+/// A descriptor's place: counted from before the connect until the connection is really closed.
+pub struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream, worker: Name, life: u64, place: Place) -> Rc<Conn> {
+        // Without it small commands wait for acknowledgements; a socket that fails here fails again soon.
+        let _ = stream.set_nodelay(true);
+        Rc::new(Conn {
+            stream,
+            worker,
+            life,
+            busy: Cell::new(None),
+            written: Cell::new(false),
+            idle_since: Cell::new(0.0),
+            task: OnceCell::new(),
+            _place: place,
+        })
+    }
+
+    /// Ends it at once: the peer sees the end before anything else is decided, and no late answer is read.
+    pub fn close(&self) {
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+        if let Some(task) = self.task.get() {
+            task.abort();
+        }
+    }
+
+    /// Whether the worker has closed it, or sent what nobody asked for. The runtime may not have seen that
+    /// yet, so the socket itself is asked.
+    pub fn stale(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        !matches!(SockRef::from(&self.stream).peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Reads answers until the connection ends.
+    pub fn listen(self: &Rc<Conn>, gateway: Shared) {
+        let conn = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let ended = conn.read(&gateway).await;
+            gateway.borrow_mut().worker_closed(&conn, ended);
+        });
+        let _ = self.task.set(task.abort_handle());
+    }
+
+    /// Gives what was wrong with the bytes, if that is why it ended.
+    async fn read(self: &Rc<Conn>, gateway: &Shared) -> Option<&'static str> {
+        let mut bytes: Vec<u8> = Vec::new();
+        loop {
+            self.stream.readable().await.ok()?;
+            bytes.reserve(1024);
+            match self.stream.try_read_buf(&mut bytes) {
+                Ok(0) => return None,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                Err(_) => return None,
+            }
+            self.busy.get()?;
+            match resp::reply(&bytes) {
+                Ok(None) if bytes.len() > ANSWER_MOST => return Some("an answer is too long"),
+                Ok(None) => {}
+                Ok(Some((reply, len))) => {
+                    // What follows belongs to no request: the next one must not be given it.
+                    let clean = len == bytes.len();
+                    gateway.borrow_mut().answered(self, reply, &bytes, clean);
+                    if !clean {
+                        return None;
+                    }
+                    bytes.clear();
+                    if bytes.capacity() > KEPT {
+                        bytes = Vec::new();
+                    }
+                }
+                Err(broken) => return Some(broken.0),
+            }
+        }
+    }
+
+    /// Writes the rest of a command that the socket did not take at once.
+    pub async fn write_rest(&self, rest: &[u8]) -> io::Result<()> {
+        let mut at = 0;
+        while at < rest.len() {
+            self.stream.writable().await?;
+            match self.stream.try_write(&rest[at..]) {
+                Ok(n) => at += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What the list says of a worker, and the connections to it that wait.
+pub struct Worker {
+    pub address: SocketAddr,
+    pub health: Health,
+    /// Grows with each restart and each new address: connections of an earlier life are of no use.
+    pub life: u64,
+    boot_ms: f64,
+    idle: Vec<Rc<Conn>>,
+}
+
+/// All workers that the list has named.
+pub struct Workers {
+    all: HashMap<Name, Worker>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Workers {
+    /// `most` bounds the connections to all of them together.
+    pub fn new(most: usize) -> Workers {
+        Workers { all: HashMap::new(), open: Rc::default(), most }
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Worker> {
+        self.all.get(name)
+    }
+
+    /// Takes the list's news. Gives the workers whose former life has ended.
+    pub fn listed(&mut self, list: &Listed) -> Vec<Name> {
+        if list.all {
+            for (name, worker) in &mut self.all {
+                if !list.targets.iter().any(|t| *t.uid == **name) {
+                    worker.health = Health::Gone;
+                }
+            }
+        }
+        let mut over = Vec::new();
+        for Target { uid, endpoint, health, boot_ms, .. } in &list.targets {
+            let fresh = || Worker {
+                address: *endpoint,
+                health: *health,
+                life: 0,
+                boot_ms: *boot_ms,
+                idle: Vec::new(),
+            };
+            let name: Name = uid.as_str().into();
+            let worker = self.all.entry(name.clone()).or_insert_with(fresh);
+            if worker.address != *endpoint || *boot_ms > worker.boot_ms {
+                worker.life += 1;
+                worker.idle.drain(..).for_each(|conn| conn.close());
+                over.push(name);
+            }
+            (worker.address, worker.health, worker.boot_ms) = (*endpoint, *health, *boot_ms);
+        }
+        for worker in self.all.values_mut().filter(|w| w.health != Health::Up) {
+            worker.idle.drain(..).for_each(|conn| conn.close());
+        }
+        self.all.retain(|_, worker| worker.health != Health::Gone);
+        over
+    }
+
+    /// A pooled connection that is still good: the one used last, so that the others can grow old.
+    pub fn take(&mut self, name: &str) -> Option<Rc<Conn>> {
+        let idle = &mut self.all.get_mut(name)?.idle;
+        while let Some(conn) = idle.pop() {
+            if !conn.stale() {
+                return Some(conn);
+            }
+            conn.close();
+        }
+        None
+    }
+
+    /// Keeps a connection for later, unless its worker is to get nothing more or has restarted.
+    pub fn keep(&mut self, conn: &Rc<Conn>, now: f64) {
+        conn.busy.set(None);
+        conn.idle_since.set(now);
+        match self.all.get_mut(&conn.worker) {
+            Some(w) if w.health == Health::Up && w.life == conn.life => w.idle.push(conn.clone()),
+            _ => conn.close(),
+        }
+    }
+
+    /// A place for one more connection. At the limit the longest idle one of any worker makes room.
+    pub fn place(&mut self) -> Option<Place> {
+        if self.open.get() >= self.most {
+            let age = |w: &&mut Worker| w.idle.first().map_or(f64::INFINITY, |c| c.idle_since.get());
+            let oldest = self.all.values_mut().min_by(|a, b| age(a).total_cmp(&age(b)));
+            let oldest = oldest.filter(|w| !w.idle.is_empty())?;
+            oldest.idle.remove(0).close();
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Place(self.open.clone()))
+    }
+
+    /// Forgets a connection that has ended.
+    pub fn forget(&mut self, conn: &Rc<Conn>) {
+        if let Some(worker) = self.all.get_mut(&conn.worker) {
+            worker.idle.retain(|c| !Rc::ptr_eq(c, conn));
+        }
+    }
+
+    /// Closes what has stood idle since before this time: a worker closes it too, and a request that
+    /// crosses that is a reset.
+    pub fn sweep(&mut self, before: f64) {
+        for worker in self.all.values_mut() {
+            let old = worker.idle.iter().take_while(|c| c.idle_since.get() < before).count();
+            worker.idle.drain(..old).for_each(|conn| conn.close());
+        }
+    }
+}
+
+/// A load report: names and figures. What can't be read is passed over.
+pub fn report(text: &[u8]) -> Option<Report> {
+    let mut report = Report::default();
+    for pair in std::str::from_utf8(text).ok()?.split(',') {
+        let Some((name, figure)) = pair.split_once('=') else { continue };
+        let figure = figure.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0);
+        match name {
+            "inflight" => report.in_flight = figure,
+            "util" => report.busy = figure,
+            "qps" => report.served = figure,
+            _ => {}
+        }
+    }
+    (report != Report::default()).then_some(report)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,9 +30,11 @@
 struct Readme;
 
 mod api;
+mod conf;
 mod control;
 mod note;
 mod state;
 
 pub use api::*;
+pub use conf::{Bounds, Conf, ConfClass, ConfPlan, EffectWord};
 pub use control::Control;
