--- a/src/bin/dewwood-adapter/main.rs
+++ b/src/bin/frostvale-drill/main.rs
@@ -36,6 +36,6 @@
 }
 
 fn complain(line: u64, what: &str) -> ExitCode {
-    eprintln!("dewwood-adapter: line {line}: {what}");
+    eprintln!("frostvale-drill: line {line}: {what}");
     ExitCode::FAILURE
 }
--- a/src/bin/dewwood-adapter/wire.rs
+++ b/src/bin/frostvale-drill/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's words, and nothing but their translation to and from the library's.
 
-use dewwood::*;
+use frostvale::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::{Gateway, Shared};
 use crate::resp::{self, Broken, Command};
-use dewwood::{EffectWord, Name};
+use frostvale::{EffectWord, Name};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -1,7 +1,7 @@
 //! What the gatekeeper is told: GW_CONFIG and the variables that stand beside it.
 
 use crate::discovery::{self, Listed};
-use dewwood::{Conf, Settings};
+use frostvale::{Conf, Settings};
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the whole list once, then a watch that is opened again whenever it ends or falls silent.
 
 use crate::gateway::Shared;
-use dewwood::Health;
+use frostvale::Health;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -1,5 +1,5 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
-//! attempts and one queue of timers for all of them. It decides nothing: `dewwood::Control` does.
+//! attempts and one queue of timers for all of them. It decides nothing: `frostvale::Control` does.
 
 use crate::clients::{Ask, Client};
 use crate::config::Config;
@@ -7,7 +7,7 @@
 use crate::peers::Peers;
 use crate::resp::{self, Reply};
 use crate::workers::{self, Conn, Place, Workers};
-use dewwood::*;
+use frostvale::*;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -4,7 +4,7 @@
 use crate::discovery::{Listed, Target};
 use crate::gateway::Shared;
 use crate::resp::{self, VALUE_MOST};
-use dewwood::{Health, Name, Report};
+use frostvale::{Health, Name, Report};
 use socket2::SockRef;
 use std::cell::{Cell, OnceCell};
 use std::collections::HashMap;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! the same events always give the same actions.
 //!
 //! ```
-//! use dewwood::{Action, Class, Control, Effect, Event, Health, Listing, Plan, Request, Server, Settings};
+//! use frostvale::{Action, Class, Control, Effect, Event, Health, Listing, Plan, Request, Server, Settings};
 //!
 //! let settings = Settings {
 //!     gateways: 1,
@@ -22,7 +22,7 @@
 //!     first: 0, spread: 1, give_up: 1000.0, repeat: false,
 //! }));
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
-//! # Ok::<(), dewwood::SettingsError>(())
+//! # Ok::<(), frostvale::SettingsError>(())
 //! ```
 
 #[cfg(doctest)]
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -7,7 +7,7 @@
 
 /// Runs the adapter on these lines: exit success, standard output, standard error.
 fn talk(lines: &[String]) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_dewwood-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_frostvale-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,6 +1,6 @@
 //! The module alone: one small test for each rule, guard and failure found.
 
-use dewwood::*;
+use frostvale::*;
 
 fn settings() -> Settings {
     let class = |effect, worth| Class { worth, aim: 800.0, late_worth: 0.0, effect, window: 2000.0 };
