Hold the node's promises by tests over loopback; two mends found by reading

Cause of the mends: a new address alone (no restart) ended what was out at a worker as a reset, though the old process may still answer it; only a later start does so now. A lasting error of the notes' socket would have been read again and again; it waits a millisecond now. Tests start the built program against fakes on port 0: order of pipelined answers, bad input, endings that may have run, late, spoilt and surplus answers, stale and idle pooled connections, ids that come again, drains also while connecting, restarts under one name, silent discovery and watch, SIGTERM, descriptors, configuration, datagrams. Two tests were wrong at first: one shared a gatekeeper over four failures, which the throttle rightly answered; one did not wait for the news of a drain.

--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -52,6 +52,7 @@
     let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let listen = listener.local_addr().unwrap_or(listen);
     let peers = match config.peer_listen {
         Some(at) => {
             let peers = Peers::bind(at, std::mem::take(&mut config.peers)).await;
--- a/src/bin/frostvale/peers.rs
+++ b/src/bin/frostvale/peers.rs
@@ -33,9 +33,9 @@
     pub async fn listen(self, gateway: Shared, me: u32) {
         let mut bytes = [0u8; NOTE_MOST + 1];
         loop {
-            // An error here is an earlier note that could not be delivered: nothing to act on.
+            // An error is an earlier note that could not be delivered, or lasting: then this must not spin.
             let Ok((len, from)) = self.socket.recv_from(&mut bytes).await else {
-                tokio::task::yield_now().await;
+                tokio::time::sleep(std::time::Duration::from_millis(1)).await;
                 continue;
             };
             // Only peers are heard, and only in words that may be a note.
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -183,6 +183,9 @@
             if worker.address != *endpoint || *boot_ms > worker.boot_ms {
                 worker.life += 1;
                 worker.idle.drain(..).for_each(|conn| conn.close());
+            }
+            // At a new address alone the old process may still answer what it has.
+            if *boot_ms > worker.boot_ms {
                 over.push(name);
             }
             (worker.address, worker.health, worker.boot_ms) = (*endpoint, *health, *boot_ms);
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,698 @@
+//! The built gatekeeper over loopback, against small fakes of clients, workers and discovery.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Nothing here waits this long unless it has failed.
+const LONG: Duration = Duration::from_secs(20);
+const ID: &str = "9b1f03aa5c7e2d41";
+
+/// A listener whose connections can be waited for with a limit.
+struct Door {
+    at: SocketAddr,
+    came: Receiver<TcpStream>,
+}
+
+impl Door {
+    fn open() -> Door {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("bound");
+        let (tell, came) = channel();
+        thread::spawn(move || while listener.accept().is_ok_and(|(s, _)| tell.send(s).is_ok()) {});
+        Door { at, came }
+    }
+
+    fn next(&self) -> Line {
+        Line::of(self.came.recv_timeout(LONG).expect("a connection"))
+    }
+
+    fn nobody(&self) -> bool {
+        self.came.try_recv().is_err()
+    }
+}
+
+/// One end of a RESP connection.
+struct Line {
+    read: BufReader<TcpStream>,
+}
+
+impl Line {
+    fn of(stream: TcpStream) -> Line {
+        stream.set_read_timeout(Some(LONG)).expect("a socket");
+        Line { read: BufReader::new(stream) }
+    }
+
+    fn say(&mut self, text: impl AsRef<[u8]>) {
+        self.read.get_mut().write_all(text.as_ref()).expect("written");
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.read.read_line(&mut line).expect("a line");
+        line.trim_end().to_string()
+    }
+
+    /// An answer: a line, or a bulk string's value.
+    fn answer(&mut self) -> String {
+        let head = self.line();
+        if head.starts_with('$') { self.line() } else { head }
+    }
+
+    /// A command that came in, as words.
+    fn command(&mut self) -> Vec<String> {
+        let head = self.line();
+        let count: usize =
+            head.strip_prefix('*').and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("{head:?}"));
+        (0..count).map(|_| self.answer()).collect()
+    }
+
+    fn serve(&mut self, value: &str) {
+        self.say(format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$17\r\nutil=0.61,qps=9.5\r\n", value.len()));
+    }
+
+    fn ended(&mut self) -> bool {
+        matches!(self.read.read(&mut [0; 1]), Ok(0) | Err(_))
+    }
+}
+
+fn words(parts: &[&str]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", parts.len());
+    parts.iter().for_each(|p| out.push_str(&format!("${}\r\n{p}\r\n", p.len())));
+    out.into_bytes()
+}
+
+fn ask(wait: u32) -> Vec<u8> {
+    let fields = format!("c=read,t=p,d={wait},units=1,spread=1,first=0");
+    words(&["Q.ASK", "00000000b4d65521", ID, &fields])
+}
+
+fn order(class: &str, wait: u32) -> Vec<u8> {
+    let fields = format!("c={class},t=p,d={wait},k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0");
+    words(&["Q.DO", "00000000b4d65521", ID, &fields, "BODY"])
+}
+
+fn target(uid: &str, at: SocketAddr, state: &str, boot_ms: u64) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{at}","az":"a","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":{boot_ms}}}"#
+    )
+}
+
+fn list(rev: u64, all: bool, targets: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
+}
+
+/// Discovery: gives the list, and hands each watch that is opened to the test.
+struct Discovery {
+    at: SocketAddr,
+    watches: Receiver<TcpStream>,
+}
+
+impl Discovery {
+    fn with(list: String) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().expect("bound");
+        let (tell, watches) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (list, tell) = (list.clone(), tell.clone());
+                thread::spawn(move || {
+                    let mut line = Line::of(stream);
+                    loop {
+                        let head = line.line();
+                        if head.is_empty() {
+                            return;
+                        }
+                        while !line.line().is_empty() {}
+                        if head.contains("stream=1") {
+                            line.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                            let _ = tell.send(line.read.into_inner());
+                            return;
+                        }
+                        line.say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+                    }
+                });
+            }
+        });
+        Discovery { at, watches }
+    }
+
+    fn watch(&self) -> TcpStream {
+        self.watches.recv_timeout(LONG).expect("a watch")
+    }
+}
+
+fn push(watch: &mut TcpStream, line: &str) {
+    let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+    watch.write_all(chunk.as_bytes()).expect("written");
+}
+
+struct Node {
+    child: Child,
+    at: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+    lines: Receiver<String>,
+    config: PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// What differs from test to test.
+struct Setup {
+    discovery: SocketAddr,
+    known: String,
+    sockets: u32,
+    bounds: &'static str,
+    shell: &'static str,
+}
+
+impl Setup {
+    fn new(discovery: SocketAddr) -> Setup {
+        Setup {
+            discovery,
+            known: "null".into(),
+            sockets: 1024,
+            bounds: r#""ConnectTimeout":5000.0"#,
+            shell: "exec",
+        }
+    }
+
+    fn start(&self) -> Node {
+        let settings = format!(
+            r#"{{"Balancers":1,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"TryLimit":3,{}}},
+            "Classes":[{{"Name":"read","Target":8000.0,"Deadline":9000.0,"Effect":"repeatable","Worth":1.0}},
+            {{"Name":"order","Target":8000.0,"Effect":"by_key","Group":"cell","Window":5000.0,"Worth":1.0}},
+            {{"Name":"pay","Target":8000.0,"Effect":"once","Worth":1.0}}],
+            "Domain":{{"Largest":4,"PeerIntake":60.0}},"Rules":{{"ColdFrom":0.5,"WarmWithin":1.0}},
+            "Plans":[{{"Name":"p","UnitsPerS":1000.0,"PeakUnits":1000.0,"ValueFactor":1.0}}]}}"#,
+            self.bounds
+        );
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"peer_listen":"","peers":[],
+            "known":{},"settings":{settings}}}"#,
+            self.discovery, self.sockets, self.known
+        );
+        start(&config, self.shell)
+    }
+}
+
+fn start(config: &str, shell: &str) -> Node {
+    let path = write_config(config);
+    let mut child = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("{shell} {}", env!("CARGO_BIN_EXE_frostvale")))
+        .env("GW_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the gatekeeper starts");
+    let log = Arc::new(Mutex::new(Vec::new()));
+    let (tell, lines) = channel();
+    let errors = BufReader::new(child.stderr.take().expect("piped"));
+    let kept = log.clone();
+    thread::spawn(move || {
+        for line in errors.lines().map_while(Result::ok) {
+            kept.lock().expect("whole").push(line.clone());
+            let _ = tell.send(line);
+        }
+    });
+    let mut node = Node { child, at: "127.0.0.1:0".parse().expect("an address"), log, lines, config: path };
+    node.at = node.says(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    node
+}
+
+fn write_config(text: &str) -> PathBuf {
+    static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("frostvale-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+impl Node {
+    /// Waits for a line of the log that holds this.
+    fn says(&self, what: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(LONG);
+            let line = line.unwrap_or_else(|_| panic!("{what:?} is not in {:?}", self.log.lock()));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    fn client(&self) -> Line {
+        Line::of(TcpStream::connect(self.at).expect("connected"))
+    }
+
+    fn terminate(&self) {
+        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    fn exit(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+}
+
+/// A gatekeeper with one worker, of which discovery has told.
+fn one_worker() -> (Door, Discovery, Node) {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    (worker, discovery, node)
+}
+
+#[test]
+fn a_request_goes_on_unchanged_but_for_its_time() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    client.say(order("order", 3000));
+    let mut line = worker.next();
+    let command = line.command();
+    assert_eq!(command.len(), 5);
+    assert_eq!(
+        [&command[0][..], &command[1], &command[2], &command[4]],
+        ["Q.DO", "00000000b4d65521", ID, "BODY"]
+    );
+    let (head, rest) = command[3].split_once(",d=").expect("d");
+    let (d, tail) = rest.split_once(',').expect("more fields");
+    assert_eq!((head, tail), ("c=order,t=p", "k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0"));
+    let d: u32 = d.parse().expect("a number");
+    assert!((1..3000).contains(&d), "{d}");
+    line.serve("mixed");
+    assert_eq!(client.answer(), "mixed");
+}
+
+#[test]
+fn pipelined_requests_begin_at_once_and_are_answered_in_order() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    client.say([ask(5000), words(&["PING"]), ask(5000)].concat());
+    let (mut first, mut second) = (worker.next(), worker.next());
+    // Which connection carries which request is not told; both are out before either is answered.
+    (first.command(), second.command());
+    second.serve("x");
+    first.serve("x");
+    assert_eq!([client.answer(), client.answer(), client.answer()], ["x", "+PONG", "x"]);
+}
+
+#[test]
+fn bad_input_is_answered_and_only_broken_resp_closes() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    let fields = |f: &str| words(&["Q.ASK", "00000000b4d65521", ID, f]);
+    let bad = [
+        words(&["GET", "x"]),
+        words(&["Q.ASK"]),
+        words(&["Q.ASK", "00000002b4d65521", ID, "c=read,t=p,d=9,units=1,spread=1,first=0"]),
+        words(&["Q.ASK", "00000000b4d65521", "short", "c=read,t=p,d=9,units=1,spread=1,first=0"]),
+        fields("c=read,t=p,units=1,spread=1,first=0"),
+        fields("c=read,t=p,d=-1,units=1,spread=1,first=0"),
+        fields("c=read,t=p,d=,units=1,spread=1,first=0"),
+        fields("c=none,t=p,d=9,units=1,spread=1,first=0"),
+        fields("c=read,t=none,d=9,units=1,spread=1,first=0"),
+        fields("c=read,t=p,d=9,units=NaN,spread=1,first=0"),
+        fields("c=read,t=p,d=9,units=5,spread=1,first=0"),
+        fields("c=read,t=p,d=9,units=1,spread=0,first=0"),
+        fields("c=read,t=p,d=9,units=1,spread=1,first=1"),
+        fields("c=read,t=p,d=9,d=9,units=1,spread=1,first=0"),
+        fields("c=order,t=p,d=9,k=1,units=1,spread=1,first=0"),
+        fields("nonsense"),
+        words(&["Q.DO", "00000000b4d65521", ID, "c=order,t=p,d=9,units=1,spread=1,first=0", "B"]),
+    ];
+    for command in bad {
+        client.say(&command);
+        let answer = client.answer();
+        assert!(answer.starts_with("-ERR "), "{} gets {answer}", String::from_utf8_lossy(&command));
+    }
+    client.say(words(&["PING"]));
+    assert_eq!(client.answer(), "+PONG");
+    client.say("GET / HTTP/1.1\r\n\r\n");
+    assert!(client.answer().starts_with("-ERR protocol error"));
+    assert!(client.ended());
+    assert!(worker.nobody(), "nothing of this goes to a worker");
+}
+
+#[test]
+fn an_effect_that_may_have_happened_is_failed_and_not_refused() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    client.say(order("pay", 5000));
+    let mut line = worker.next();
+    line.command();
+    drop(line);
+    assert_eq!(client.answer(), "-ERR failed");
+    // Turned away unseen, it surely did not run.
+    client.say(order("pay", 5000));
+    let mut line = worker.next();
+    line.command();
+    line.say("-BUSY\r\n");
+    assert!(client.answer().starts_with("-BUSY"));
+}
+
+#[test]
+fn a_late_answer_never_meets_the_next_request() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    client.say(ask(300));
+    let mut late = worker.next();
+    late.command();
+    assert!(client.answer().starts_with("-BUSY"), "a read is harmless to try again");
+    assert!(late.ended(), "giving up closes the connection");
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    let _ = late.read.get_mut().write_all(b"*3\r\n$3\r\nold\r\n$-1\r\n$-1\r\n");
+    line.serve("new");
+    assert_eq!(client.answer(), "new");
+}
+
+#[test]
+fn a_spoilt_answer_costs_its_attempt_only() {
+    for spoilt in ["+what\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*3\r\n$999999\r\n", "*3\r\n$1\r\nabc"] {
+        let (worker, _discovery, node) = one_worker();
+        let mut client = node.client();
+        client.say(order("pay", 5000));
+        let mut line = worker.next();
+        line.command();
+        line.say(spoilt);
+        assert_eq!(client.answer(), "-ERR failed", "{spoilt:?}");
+        assert!(line.ended());
+        client.say(order("pay", 5000));
+        let mut line = worker.next();
+        line.command();
+        line.serve("sound");
+        assert_eq!(client.answer(), "sound");
+    }
+}
+
+#[test]
+fn bytes_behind_an_answer_cost_the_connection() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.say("*3\r\n$1\r\na\r\n$-1\r\n$-1\r\n*3\r\n$1\r\nb\r\n$-1\r\n$-1\r\n");
+    assert_eq!(client.answer(), "a");
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("c");
+    assert_eq!(client.answer(), "c");
+}
+
+#[test]
+fn a_connection_is_used_again_but_not_once_the_worker_has_closed_it() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    let mut line = None;
+    for _ in 0..3 {
+        client.say(order("pay", 5000));
+        let line = line.get_or_insert_with(|| worker.next());
+        line.command();
+        line.serve("done");
+        assert_eq!(client.answer(), "done");
+    }
+    assert!(worker.nobody());
+    drop(line);
+    client.say(order("pay", 5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("done");
+    assert_eq!(client.answer(), "done");
+}
+
+#[test]
+fn a_client_that_sends_the_same_id_again_is_served_twice() {
+    let (worker, _discovery, node) = one_worker();
+    let (mut a, mut b) = (node.client(), node.client());
+    a.say(ask(5000));
+    let mut first = worker.next();
+    first.command();
+    b.say(ask(5000));
+    let mut second = worker.next();
+    second.command();
+    first.serve("one");
+    assert_eq!(a.answer(), "one");
+    second.serve("two");
+    assert_eq!(b.answer(), "two");
+}
+
+#[test]
+fn a_drain_is_kept_and_its_pooled_connections_closed() {
+    let (a, b) = (Door::open(), Door::open());
+    let discovery = Discovery::with(list(1, true, &[target("s-1", a.at, "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    let mut watch = discovery.watch();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = a.next();
+    line.command();
+    line.serve("a");
+    assert_eq!(client.answer(), "a");
+    push(&mut watch, "");
+    push(&mut watch, &list(2, false, &[target("s-1", a.at, "draining", 0), target("s-2", b.at, "ready", 0)]));
+    assert!(line.ended(), "what is idle to a draining worker is closed");
+    for _ in 0..5 {
+        client.say(ask(5000));
+    }
+    let mut others: Vec<Line> = (0..5).map(|_| b.next()).collect();
+    for other in &mut others {
+        other.command();
+        other.serve("b");
+    }
+    (0..5).for_each(|_| assert_eq!(client.answer(), "b"));
+    assert!(a.nobody());
+}
+
+#[test]
+fn a_drain_that_comes_while_connecting_stops_the_send() {
+    // A listener whose line is full: further connections stay pending until it accepts.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
+    let slow: TcpListener = socket.into();
+    let at = slow.local_addr().expect("bound");
+    let filler = TcpStream::connect(at).expect("takes the only place");
+    let other = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", at, "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    let mut watch = discovery.watch();
+    let (mut client, mut second) = (node.client(), node.client());
+    client.say(ask(7000));
+    second.say(words(&["PING"]));
+    assert_eq!(second.answer(), "+PONG");
+    push(
+        &mut watch,
+        &list(2, false, &[target("s-1", at, "draining", 0), target("s-2", other.at, "ready", 0)]),
+    );
+    // The watch is opened again over this, so the news before it has been taken in.
+    push(&mut watch, "{nonsense");
+    discovery.watch();
+    drop(slow.accept());
+    let (stream, _) = slow.accept().expect("the pending connection");
+    assert!(Line::of(stream).ended(), "nothing is sent on it");
+    let mut line = other.next();
+    line.command();
+    line.serve("elsewhere");
+    assert_eq!(client.answer(), "elsewhere");
+    drop(filler);
+}
+
+#[test]
+fn a_restart_under_the_same_name_ends_what_was_out() {
+    let (worker, discovery, node) = one_worker();
+    let mut watch = discovery.watch();
+    let mut client = node.client();
+    client.say(order("pay", 8000));
+    let mut old = worker.next();
+    old.command();
+    push(&mut watch, &list(2, false, &[target("s-1", worker.at, "ready", 1_700_000_000_000)]));
+    assert_eq!(client.answer(), "-ERR failed");
+    assert!(old.ended());
+}
+
+#[test]
+fn the_known_list_serves_while_discovery_is_silent() {
+    let (worker, silent) = (Door::open(), Door::open());
+    let known = list(1, true, &[target("s-1", worker.at, "ready", 0)]);
+    let node = Setup { known, ..Setup::new(silent.at) }.start();
+    let mut client = node.client();
+    client.say(words(&["PING"]));
+    assert_eq!(client.answer(), "+PONG");
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("known");
+    assert_eq!(client.answer(), "known");
+}
+
+#[test]
+fn a_watch_that_falls_silent_or_speaks_nonsense_is_opened_again() {
+    let (worker, discovery, node) = one_worker();
+    let mut watch = discovery.watch();
+    push(&mut watch, "{nonsense");
+    let silent = discovery.watch();
+    let mut third = discovery.watch();
+    drop(silent);
+    // A line that can't be read costs that line only.
+    let odd = r#"{"uid":7}"#.to_string();
+    push(&mut third, &list(2, false, &[odd, target("s-1", worker.at, "draining", 0)]));
+    push(&mut third, &list(3, false, &[target("s-2", worker.at, "ready", 0)]));
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("still here");
+    assert_eq!(client.answer(), "still here");
+}
+
+#[test]
+fn sigterm_answers_all_that_is_taken_and_then_ends() {
+    let (worker, _discovery, mut node) = one_worker();
+    let (mut busy, mut idle) = (node.client(), node.client());
+    idle.say(words(&["PING"]));
+    assert_eq!(idle.answer(), "+PONG");
+    busy.say(ask(8000));
+    let mut out = worker.next();
+    out.command();
+    node.terminate();
+    node.says(" stops");
+    // New connections go on coming for a while, and are served.
+    let mut late = node.client();
+    late.say(ask(8000));
+    let mut other = worker.next();
+    other.command();
+    other.serve("late");
+    assert_eq!(late.answer(), "late");
+    assert!(idle.ended(), "idle connections are closed");
+    out.serve("busy");
+    assert_eq!(busy.answer(), "busy");
+    assert!(busy.ended());
+    assert!(node.exit().success());
+}
+
+#[test]
+fn idle_clients_make_room_at_the_limit() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let mut clients: Vec<Line> = Vec::new();
+    for _ in 0..80 {
+        let mut client = node.client();
+        client.say(words(&["PING"]));
+        assert_eq!(client.answer(), "+PONG");
+        clients.push(client);
+    }
+    assert!(clients[0].ended(), "the one idle for longest has gone");
+}
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    // The system gives fewer than the configuration promises.
+    let node = Setup { shell: "ulimit -n 32; exec", ..Setup::new(discovery.at) }.start();
+    let mut clients: Vec<Line> = Vec::new();
+    for _ in 0..60 {
+        let mut client = node.client();
+        client.say(words(&["PING"]));
+        assert_eq!(client.answer(), "+PONG");
+        clients.push(client);
+    }
+    node.says("cannot accept a connection");
+    drop(clients);
+    let mut client = node.client();
+    client.say(words(&["PING"]));
+    assert_eq!(client.answer(), "+PONG");
+}
+
+#[test]
+fn pooled_connections_are_closed_well_before_the_workers_limit() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup { bounds: r#""ConnIdle":1000.0"#, ..Setup::new(discovery.at) }.start();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    let begun = std::time::Instant::now();
+    line.serve("x");
+    assert_eq!(client.answer(), "x");
+    assert!(line.ended());
+    assert!(begun.elapsed() >= Duration::from_millis(400), "not at once");
+}
+
+#[test]
+fn unusable_configurations_get_one_clear_line() {
+    let cases = [
+        ("no JSON", "nonsense", "expected"),
+        ("no settings", r#"{"seed":"1"}"#, "settings"),
+        (
+            "no classes",
+            r#"{"seed":"1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"Balancers":1,"Classes":[]}}"#,
+            "class",
+        ),
+        (
+            "no address",
+            r#"{"seed":"1","listen":"here","discovery":"127.0.0.1:1","settings":{"Balancers":1,"Classes":[{"Target":1.0,"Effect":"once"}]}}"#,
+            "listen",
+        ),
+    ];
+    for (what, text, word) in cases {
+        let path = write_config(text);
+        let run =
+            Command::new(env!("CARGO_BIN_EXE_frostvale")).env("GW_CONFIG", &path).output().expect("runs");
+        let _ = std::fs::remove_file(path);
+        let error = String::from_utf8(run.stderr).expect("text");
+        assert!(!run.status.success(), "{what} passes");
+        assert_eq!(error.lines().count(), 1, "{what}: {error}");
+        assert!(error.contains(word), "{what}: {error}");
+    }
+    let run = Command::new(env!("CARGO_BIN_EXE_frostvale")).env_remove("GW_CONFIG").output().expect("runs");
+    assert!(!run.status.success() && String::from_utf8_lossy(&run.stderr).contains("GW_CONFIG"));
+}
+
+#[test]
+fn strangers_and_odd_datagrams_are_passed_over() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let (peer, stranger) = (UdpSocket::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
+    let (peer, stranger) = (peer.expect("a port"), stranger.expect("a port"));
+    let own = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+    let config = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{own}","peers":["{own}","{}"],
+        "settings":{{"Balancers":2,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"Peers":true,"TryLimit":3}},
+        "Classes":[{{"Name":"read","Target":8000.0,"Effect":"repeatable","Worth":1.0}}],
+        "Domain":{{"Largest":4,"PeerIntake":60.0}},
+        "Plans":[{{"Name":"p","UnitsPerS":10.0,"PeakUnits":10.0,"ValueFactor":1.0}}]}}}}"#,
+        discovery.at,
+        peer.local_addr().expect("bound"),
+    );
+    let node = start(&config, "exec");
+    peer.send_to(&[b'a'; 300], own).expect("sent");
+    peer.send_to(&[0xff; 10], own).expect("sent");
+    peer.send_to(b"a,1,99999,zz;g,1,7,1,-1,0,0,0;t,,;;,,,", own).expect("sent");
+    stranger.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
+    peer.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
+    peer.set_read_timeout(Some(LONG)).expect("a socket");
+    let mut bytes = [0; 512];
+    let (len, from) = peer.recv_from(&mut bytes).expect("the peer's question is answered");
+    assert!(from == own && len <= 256);
+    assert!(bytes.starts_with(b"g,aa,1,1,"), "{}", String::from_utf8_lossy(&bytes[..len]));
+    stranger.set_nonblocking(true).expect("a socket");
+    assert!(stranger.recv_from(&mut bytes).is_err(), "a stranger is not");
+}
