Tell clients beyond their quota when to come again

Cause: every refusal had a pause of 0, so no client was ever told when to come back (the real gatekeeper answered -BUSY alone), though the settings allow advice and it is asked for. So advice that ends within the aim takes the place of the clients' own waits and costs served worth, whatever its length. The mean of a server's load moves to state.rs beside its data, which makes room in the module.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,8 +30,6 @@
 const ROOM: f64 = 0.19;
 /// A request whose customer has all its places taken may wait this part of its aim for one.
 const WAIT: f64 = 0.5;
-/// Demand is remembered for about this long: to count slow customers and to follow those that move.
-const DEMAND_MS: f64 = 2000.0;
 /// What a keeper told fades over this time.
 const FADE_MS: f64 = 2000.0;
 /// A keeper's silence past this part of the request's aim means that it is stalled or gone.
@@ -86,19 +84,6 @@
 const PEEK_MS: f64 = 250.0;
 const TICK: u64 = 1;
 
-impl Live {
-    /// Keeps the mean number of this gateway's requests here over time. Called before it changes.
-    fn average(&mut self, now: f64) {
-        self.usual = self.usual_now(now);
-        self.usual_at = now;
-    }
-
-    fn usual_now(&self, now: f64) -> f64 {
-        let kept = (-(now - self.usual_at) / DEMAND_MS).exp();
-        self.usual * kept + self.out.len() as f64 * (1.0 - kept)
-    }
-}
-
 /// The decisions of one gateway.
 pub struct Control {
     cfg: Settings,
@@ -225,9 +210,9 @@
     // ---- a request: bucket, ceiling, throttle, server ----
 
     fn on_request(&mut self, request: Request) {
-        let (id, now, me, all) = (request.id, self.now, self.cfg.me, self.cfg.gateways);
+        let (now, me, all) = (self.now, self.cfg.me, self.cfg.gateways);
         let tier = self.tier_of.get(request.class).and_then(|row| row.get(request.plan)).copied();
-        let Some(tier) = tier else { return self.refuse(id) };
+        let Some(tier) = tier else { return self.refuse(&request) };
         self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
         let key = key_of(&request.customer);
         let plan = self.cfg.plans[request.plan].clone();
@@ -243,7 +228,7 @@
             .min((plan.ceiling_burst + plan.ceiling_slack) / n);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
         if plan.ceiling_rate > 0.0 && c.ceiling < units {
-            return self.refuse(id);
+            return self.refuse(&request);
         }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted, _) = c.told.unwrap_or((f64::NEG_INFINITY, 0.0, 0.0, 0.0));
@@ -261,7 +246,7 @@
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
         if keeper != me && !ample && c.credit < 1.0 {
-            return self.refuse(id);
+            return self.refuse(&request);
         }
         c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
         c.untold += weight;
@@ -281,7 +266,7 @@
         if keeper == me {
             return match self.asked(key, name, ask, units).0 {
                 Word::Grant => self.admit(job),
-                Word::Deny => self.refuse(id),
+                Word::Deny => self.refuse(&job.request),
                 Word::Wait => self.wait(job),
             };
         }
@@ -301,8 +286,21 @@
         self.wait(job);
     }
 
-    fn refuse(&mut self, id: u64) {
-        self.actions.push(Action::Refuse { id, pause: 0.0 });
+    /// Refuses. Where store or ceiling, as far as they are known here, won't hold the units before the
+    /// aim, it says when they will; for less a client's own wait serves better than ours.
+    fn refuse(&mut self, request: &Request) {
+        let aim = self.cfg.classes.get(request.class).map_or(0.0, |c| c.aim);
+        let pause = self.customers.get(&key_of(&request.customer)).map(|c| {
+            let plan = &self.cfg.plans[c.plan];
+            let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
+            let until = |at: f64, level: f64, rate: f64| {
+                if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
+            };
+            let ceiling = plan.ceiling_rate / f64::from(request.spread.max(1));
+            until(at, level, plan.rate).max(until(c.slice_at, c.ceiling, ceiling))
+        });
+        let pause = pause.filter(|ms| *ms > aim).map_or(0.0, f64::ceil);
+        self.actions.push(Action::Refuse { id: request.id, pause });
     }
 
     fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
@@ -350,7 +348,7 @@
         if w.queued && self.customers.get(&w.key).is_some_and(|c| c.slots < u32::MAX) {
             self.spare(w.key, w.keeper, w.request.units, w.place);
         }
-        self.refuse(w.request.id);
+        self.refuse(&w.request);
     }
 
     /// A request with room in its quota: a place of this gateway's own, the throttle, then a server.
@@ -365,7 +363,7 @@
                 return self.wait(job);
             }
             self.spare(job.key, job.keeper, job.request.units, job.place);
-            return self.refuse(job.request.id);
+            return self.refuse(&job.request);
         }
         let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
         // Asked again here: others of its customer may have been sent on while it waited.
@@ -382,7 +380,7 @@
             if job.place.is_some() || job.queued {
                 self.spare(job.key, job.keeper, units, job.place);
             }
-            return self.refuse(id);
+            return self.refuse(&job.request);
         };
         if let Some(c) = self.customers.get_mut(&job.key) {
             c.ceiling -= units;
@@ -482,7 +480,7 @@
                 self.spare(key, keeper, units - w.request.units, None);
                 self.admit(Job { place: Some(number), ..w });
             }
-            (Some(w), Word::Deny) => self.refuse(w.request.id),
+            (Some(w), Word::Deny) => self.refuse(&w.request),
             (Some(mut w), Word::Wait) => {
                 let most = WAIT * self.cfg.classes[w.request.class].aim;
                 w.until = w.arrived + most.min((w.request.give_up - w.arrived) / 2.0);
@@ -777,7 +775,7 @@
         self.count(tier, o.ending == Ending::Error && in_time);
         let effect = self.cfg.classes[class].effect;
         if h.may_run.is_none() || matches!(effect, Effect::Safe | Effect::Keyed(Group::All)) {
-            self.refuse(o.id);
+            self.refuse(&h.job.request);
         } else {
             self.actions.push(Action::Fail { id: o.id });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,9 @@
 use crate::api::*;
 use std::collections::{BTreeMap, VecDeque};
 
+/// Demand is remembered for about this long: to count slow customers and to follow those that move.
+pub(crate) const DEMAND_MS: f64 = 2000.0;
+
 /// What is known of a customer. One gateway of its set, found from its key, is its keeper and
 /// holds the store; each of the others meets its demand by what the keeper last told.
 #[derive(Default)]
@@ -89,6 +92,19 @@
     pub kind: u32,
 }
 
+impl Live {
+    /// Keeps the mean number of this gateway's requests here over time. Called before it changes.
+    pub fn average(&mut self, now: f64) {
+        self.usual = self.usual_now(now);
+        self.usual_at = now;
+    }
+
+    pub fn usual_now(&self, now: f64) -> f64 {
+        let kept = (-(now - self.usual_at) / DEMAND_MS).exp();
+        self.usual * kept + self.out.len() as f64 * (1.0 - kept)
+    }
+}
+
 /// A request that has been sent on.
 pub(crate) struct Held {
     pub job: Job,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -545,3 +545,22 @@
     assert_eq!(last(0.0), Some(810.0), "aim of 800 ms");
     assert_eq!(last(0.2), Some(2010.0), "the client's time");
 }
+
+#[test]
+fn a_refusal_beyond_the_quota_tells_when_to_come_again() {
+    let mut g = gateway(Settings { notes: false, ..settings() });
+    let request = |id, units| match ask(id, 0, 1, 0.0) {
+        Event::Request(r) => Event::Request(Request { units, spread: 1, ..r }),
+        other => other,
+    };
+    let advice = |actions: &[Action]| match actions {
+        [Action::Refuse { pause, .. }] => *pause,
+        other => panic!("{other:?}"),
+    };
+    // The store of plan 1 holds 4 units and fills at 2 a second.
+    assert!(sent(&g.handle(0.0, request(1, 4.0))).is_some());
+    assert!((advice(&g.handle(0.0, request(2, 2.0))) - 1000.0).abs() <= 1.0);
+    assert!((advice(&g.handle(100.0, request(3, 2.0))) - 900.0).abs() <= 1.0);
+    // Within the aim a client's own wait will do.
+    assert!(advice(&g.handle(300.0, request(4, 2.0))) == 0.0);
+}
