Do not wake for timers that are void by now

Each try left three timers in the queue (the module's wait, the attempt's limit, the answer's limit), and each woke the node long after the request was settled. Ruled out by a profile: no hot spot in the module (2.6%) or the parser. Lines at fault: run_due slept for the first entry whatever it was for. Void entries are now passed over when the next wake is chosen.

--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -479,6 +479,18 @@
         self.at(now + (idle / 8.0).clamp(50.0, 2000.0), Due::Sweep);
     }
 
+    /// Whether something due still means anything.
+    fn awaited(&self, due: &Due) -> bool {
+        match due {
+            Due::Timer(_) | Due::Sweep => true,
+            Due::Attempt(id, number) => {
+                let out = self.requests.get(id).and_then(|r| r.attempt.as_ref());
+                out.is_some_and(|a| a.number == *number)
+            }
+            Due::Answer(id) => self.requests.get(id).is_some_and(|r| r.client.is_some()),
+        }
+    }
+
     /// Does what is due, and gives the time of what comes next.
     fn run_due(&mut self) -> Option<Instant> {
         loop {
@@ -488,30 +500,27 @@
                     self.slept_for = u64::MAX;
                     return None;
                 }
-                Some(Reverse((at, _))) if *at > now => {
+                // Most requests are settled long before their limits: what is void by now must not wake us.
+                Some(Reverse((at, due))) if *at > now && self.awaited(due) => {
                     self.slept_for = *at;
                     return Some(self.clock.instant(*at as f64 / 1000.0));
                 }
                 Some(_) => {}
             }
             let Some(Reverse((_, due))) = self.due.pop() else { continue };
+            if !self.awaited(&due) {
+                continue;
+            }
             match due {
                 Due::Timer(token) => self.event(Event::Timer { token }),
-                Due::Attempt(id, number) => {
-                    let out = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
-                    if out.is_some_and(|a| a.number == number) {
-                        self.give_up(id, Ending::Timeout);
-                    }
-                }
+                Due::Attempt(id, _) => self.give_up(id, Ending::Timeout),
                 Due::Answer(id) => {
-                    if self.requests.get(&id).is_some_and(|r| r.client.is_some()) {
-                        eprintln!("frostvale: a request was not settled in time");
-                        if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
-                            client.answer(id, b"-ERR failed\r\n");
-                        }
-                        self.event(Event::Left { id });
-                        self.tidy(id);
+                    eprintln!("frostvale: a request was not settled in time");
+                    if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
+                        client.answer(id, b"-ERR failed\r\n");
                     }
+                    self.event(Event::Left { id });
+                    self.tidy(id);
                 }
                 Due::Sweep => self.sweep(),
             }
