Read the configuration again at SIGHUP and move discovery

Cause: main.rs awaited SIGTERM and SIGINT only, so SIGHUP took its default action; discovery.rs followed one address for life.

SIGHUP is now caught before the configuration is read. The file is checked as at the start, but its discovery wins over GW_DISCOVERY; one that can't be used is one log line. A move drops the session with the old address wherever it is (waiting, connecting, amid a back-off), and the whole list comes from the new one, since versions are each address's own. Nothing else is touched.

--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -60,6 +60,15 @@
 impl Config {
     /// Reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand over it.
     pub fn read() -> Result<Config, String> {
+        Self::load(true)
+    }
+
+    /// Reads it once more. By now the file knows better than the environment of the start where discovery is.
+    pub fn read_again() -> Result<Config, String> {
+        Self::load(false)
+    }
+
+    fn load(start: bool) -> Result<Config, String> {
         let path = env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration file".to_string())?;
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
@@ -81,7 +90,10 @@
         Ok(Config {
             name: told("GW_NAME", file.name),
             listen: address("listen", &told("GW_LISTEN", file.listen))?,
-            discovery: address("discovery", &told("GW_DISCOVERY", file.discovery))?,
+            discovery: address(
+                "discovery",
+                &if start { told("GW_DISCOVERY", file.discovery) } else { file.discovery },
+            )?,
             seed,
             sockets: file.limits.sockets.clamp(64, 1 << 20),
             memory: file.limits.memory_mb.clamp(32, 1 << 20) << 20,
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -11,6 +11,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// A machine that is cut off says nothing: no connection or list within this time is a failure.
@@ -71,14 +73,31 @@
     })
 }
 
-/// Follows discovery for as long as the process lives. `rev` is the version of the list at hand.
-pub async fn follow(gateway: Shared, address: SocketAddr, mut rev: Option<u64>) {
+/// Follows discovery for as long as the process lives. `rev` is the version of the list at hand. At a new
+/// address all begins anew: versions are its own, and what is on its way from the old one is dropped.
+pub async fn follow(gateway: Shared, mut at: watch::Receiver<SocketAddr>, mut rev: Option<u64>) {
+    loop {
+        let address = *at.borrow_and_update();
+        tokio::select! {
+            biased;
+            moved = at.changed() => {
+                if moved.is_err() {
+                    return;
+                }
+            }
+            () = follow_one(&gateway, address, rev.take()) => {}
+        }
+    }
+}
+
+/// Follows discovery at one address without end.
+async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>) {
     let mut backoff = BACKOFF_LEAST;
     let mut whole = false;
     let mut complained = false;
     loop {
         let mut heard = false;
-        let ended = session(&gateway, address, &mut rev, &mut whole, &mut heard).await;
+        let ended = session(gateway, address, &mut rev, &mut whole, &mut heard).await;
         if heard {
             (backoff, complained) = (BACKOFF_LEAST, false);
         }
@@ -104,16 +123,16 @@
     let stream = within(CALL, "connecting", TcpStream::connect(address)).await?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let (mut call, connection) = within(CALL, "connecting", handshake(TokioIo::new(stream))).await?;
-    let driver = tokio::task::spawn_local(async move {
+    // Ended with this session, also where that is dropped half way.
+    let mut driver = JoinSet::new();
+    driver.spawn_local(async move {
         // How it ended shows in the call that waits on it.
         let _ = connection.await;
     });
-    let ended = watch(gateway, &mut call, address, rev, whole, heard).await;
-    driver.abort();
-    ended
+    listen(gateway, &mut call, address, rev, whole, heard).await
 }
 
-async fn watch(
+async fn listen(
     gateway: &Shared,
     call: &mut SendRequest<Empty<Bytes>>,
     address: SocketAddr,
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -32,12 +32,9 @@
 const WORKER_PART: usize = 45;
 
 fn main() -> ExitCode {
-    let ended = Config::read().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
-    match ended {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"));
+    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("frostvale: {what}");
@@ -46,9 +43,12 @@
     }
 }
 
-async fn run(mut config: Config) -> Result<(), String> {
+async fn run() -> Result<(), String> {
+    // Before all else: a signal that nobody awaits ends the process.
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
+    let mut config = Config::read()?;
     let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
@@ -60,7 +60,8 @@
         }
         None => None,
     };
-    let (known, discovery) = (config.known.take(), config.discovery);
+    let known = config.known.take();
+    let (moved, discovery) = watch::channel(config.discovery);
     let clients = Clients::new(config.sockets * CLIENT_PART / 100);
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
@@ -75,6 +76,18 @@
     }
     spawn_local(Gateway::keep_time(gateway.clone()));
     spawn_local(discovery::follow(gateway.clone(), discovery, rev));
+    spawn_local(async move {
+        while hup.recv().await.is_some() {
+            match Config::read_again() {
+                // Sent also where it is the same: the whole list is asked for once more.
+                Ok(config) => {
+                    eprintln!("frostvale: configuration read again; discovery at {}", config.discovery);
+                    let _ = moved.send(config.discovery);
+                }
+                Err(what) => eprintln!("frostvale: the configuration in use stays: {what}"),
+            }
+        }
+    });
     // Nothing is accepted before there is somebody to send it to.
     let _ = timeout(FIRST_LIST, news.notified()).await;
     eprintln!("frostvale: {name} serves at {listen}");
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -177,7 +177,7 @@
     known: String,
     sockets: u32,
     bounds: &'static str,
-    shell: &'static str,
+    shell: String,
 }
 
 impl Setup {
@@ -187,11 +187,15 @@
             known: "null".into(),
             sockets: 1024,
             bounds: r#""ConnectTimeout":5000.0,"ConnIdle":600000.0"#,
-            shell: "exec",
+            shell: "exec".into(),
         }
     }
 
     fn start(&self) -> Node {
+        start(&self.config(), &self.shell)
+    }
+
+    fn config(&self) -> String {
         let settings = format!(
             r#"{{"Balancers":1,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"TryLimit":3,{}}},
             "Classes":[{{"Name":"read","Target":8000.0,"Deadline":9000.0,"Effect":"repeatable","Worth":1.0}},
@@ -201,13 +205,12 @@
             "Plans":[{{"Name":"p","UnitsPerS":1000.0,"PeakUnits":1000.0,"ValueFactor":1.0}}]}}"#,
             self.bounds
         );
-        let config = format!(
+        format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"peer_listen":"","peers":[],
             "known":{},"settings":{settings}}}"#,
             self.discovery, self.sockets, self.known
-        );
-        start(&config, self.shell)
+        )
     }
 }
 
@@ -259,11 +262,17 @@
         Line::of(TcpStream::connect(self.at).expect("connected"))
     }
 
-    fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    fn signal(&self, which: &str) {
+        let sent = Command::new("kill").args([which, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Gives it another configuration and has it read.
+    fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("written");
+        self.signal("-HUP");
+    }
+
     fn exit(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
     }
@@ -566,6 +575,58 @@
     assert_eq!(client.answer(), "still here");
 }
 
+#[test]
+fn a_new_configuration_moves_discovery_and_nothing_else() {
+    let (one, two) = (Door::open(), Door::open());
+    let old = Discovery::with(list(41, true, &[target("s-1", one.at, "ready", 0)]));
+    // Versions are each address's own: the new one's is lower.
+    let new = Discovery::with(list(7, true, &[target("s-2", two.at, "ready", 0)]));
+    let setup = Setup::new(old.at);
+    let node = Setup { shell: format!("GW_DISCOVERY={} exec", old.at), ..Setup::new(old.at) }.start();
+    let old_watch = old.watch();
+    let (mut client, mut busy) = (node.client(), node.client());
+    busy.say(ask(9000));
+    let mut out = one.next();
+    out.command();
+
+    node.reload("{ half");
+    node.says("the configuration in use stays");
+    node.reload(&setup.config().replace(&old.at.to_string(), "nowhere"));
+    node.says("the configuration in use stays");
+    old_watch.set_nonblocking(true).expect("a socket");
+    let still = (&old_watch).read(&mut [0]).expect_err("nothing was sent");
+    assert_eq!(still.kind(), ErrorKind::WouldBlock, "the watch in use stays open");
+
+    node.reload(&Setup::new(new.at).config());
+    let mut watch = new.watch();
+    old_watch.set_nonblocking(false).expect("a socket");
+    assert!(Line::of(old_watch).ended(), "the old watch is dropped");
+    client.say(ask(9000));
+    let mut line = two.next();
+    line.command();
+    line.serve("moved");
+    assert_eq!(client.answer(), "moved");
+    out.serve("kept");
+    assert_eq!(busy.answer(), "kept", "the request in hand and its connections live on");
+    push(&mut watch, &list(8, false, &[target("s-3", one.at, "ready", 0), target("s-2", two.at, "gone", 0)]));
+    assert!(line.ended());
+    client.say(ask(9000));
+    let mut line = one.next();
+    line.command();
+    line.serve("followed");
+    assert_eq!(client.answer(), "followed");
+}
+
+#[test]
+fn a_new_configuration_is_followed_from_a_discovery_that_never_answered() {
+    let (worker, silent) = (Door::open(), Door::open());
+    let known = list(41, true, &[target("s-1", worker.at, "ready", 0)]);
+    let node = Setup { known, ..Setup::new(silent.at) }.start();
+    let new = Discovery::with(list(7, true, &[target("s-1", worker.at, "ready", 0)]));
+    node.reload(&Setup::new(new.at).config());
+    new.watch();
+}
+
 #[test]
 fn sigterm_answers_all_that_is_taken_and_then_ends() {
     let (worker, _discovery, mut node) = one_worker();
@@ -575,7 +636,7 @@
     busy.say(ask(8000));
     let mut out = worker.next();
     out.command();
-    node.terminate();
+    node.signal("-TERM");
     node.says(" stops");
     // New connections go on coming for a while, and are served.
     let begun = Instant::now();
@@ -617,7 +678,7 @@
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
     // The system gives fewer than the configuration promises.
-    let node = Setup { shell: "ulimit -n 32; exec", ..Setup::new(discovery.at) }.start();
+    let node = Setup { shell: "ulimit -n 32; exec".into(), ..Setup::new(discovery.at) }.start();
     let mut clients: Vec<Line> = Vec::new();
     for _ in 0..60 {
         let mut client = node.client();
