Drop stale entries from a keeper's line and hand out places that came free

A traced build told each refusal's reason: the keepers denied with their store full (level 52 of 52), no place out, and 17 to 23 questions in line. asked() (control.rs) denies while the line is not empty, and only told() emptied it, that is a note that gives a place back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -413,12 +413,37 @@
         while c.out.front().is_some_and(|(_, at)| self.now - at > LEASE * (self.fleet.took + 20.0)) {
             c.out.pop_front();
         }
+        let now = self.now;
+        c.queue.retain(|ask| ask.until > now);
+    }
+
+    /// Hands free places to those that wait in line for one; who has no units left for it is told so.
+    fn hand_out(&mut self, key: u64) {
+        let now = self.now;
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        let plan = &self.cfg.plans[c.plan];
+        let mut words = Vec::new();
+        while c.out.len() < plan.open as usize
+            && let Some(ask) = c.queue.pop_front()
+        {
+            if plan.rate > 0.0 && c.level < ask.units {
+                words.push((ask, Word::Deny, 0.0));
+                continue;
+            }
+            c.level -= ask.units;
+            c.granted += ask.units * 1000.0 / DEMAND_MS;
+            c.out.push_back(((ask.from, ask.number), now));
+            words.push((ask, Word::Grant, ask.units));
+        }
+        words.iter().for_each(|(ask, word, units)| self.answer(key, ask, *word, *units));
     }
 
     /// A gateway asks for a request's units and place. Granted ones are taken at once.
     fn asked(&mut self, key: u64, plan: usize, ask: Ask, weight: f64) -> (Word, f64) {
         self.customer(key, plan);
         self.refill(key);
+        // Places whose return was lost come free by time alone: nobody else would tell the line of it.
+        self.hand_out(key);
         let (now, took) = (self.now, self.fleet.took);
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
         let plan = &self.cfg.plans[c.plan];
@@ -447,22 +472,11 @@
     fn told(&mut self, key: u64, plan: usize, units: f64, place: Option<(u32, u64)>) {
         self.customer(key, plan);
         self.refill(key);
-        let now = self.now;
         let Some(c) = self.customers.get_mut(&key) else { return };
         let plan = &self.cfg.plans[c.plan];
         c.level = (c.level - units).clamp(-plan.burst, plan.burst);
         c.out.retain(|(id, _)| Some(*id) != place);
-        let mut granted = Vec::new();
-        while c.out.len() < plan.open as usize {
-            let Some(ask) = c.queue.pop_front() else { break };
-            if ask.until > now && (plan.rate <= 0.0 || c.level >= ask.units) {
-                c.level -= ask.units;
-                c.granted += ask.units * 1000.0 / DEMAND_MS;
-                c.out.push_back(((ask.from, ask.number), now));
-                granted.push(ask);
-            }
-        }
-        granted.iter().for_each(|ask| self.answer(key, ask, Word::Grant, ask.units));
+        self.hand_out(key);
     }
 
     fn answer(&mut self, key: u64, ask: &Ask, word: Word, units: f64) {
@@ -865,7 +879,8 @@
         if self.now - self.swept > IDLE_MS / 10.0 {
             self.swept = self.now;
             let now = self.now;
-            self.customers.retain(|_, c| c.open > 0 || !c.queue.is_empty() || now - c.seen < IDLE_MS);
+            let waited = |c: &Customer| c.queue.iter().any(|ask| ask.until > now);
+            self.customers.retain(|_, c| c.open > 0 || waited(c) || now - c.seen < IDLE_MS);
         }
     }
 
