Bound what clients and workers may hold, take and mix up

Causes, each seen in a test over loopback that failed before (11 of them): - clients.rs serve(): no time-out for who is silent or half-spoken. Now 2.5 s from connecting or from a command's first byte, whatever dribbles; answers that are not taken for as long end the connection. Pools and requests in hand stay. - clients.rs evict(): the longest idle went, so silent newcomers pushed out good connections; who never asked goes first now. Who asks nothing more is closed after 20 s, after 2 s while the table is over half full. accept() looks again. - Memory: bounds held for each connection alone (115 of them at 1 MB unread, 72 KB half read). Four kinds of thing have an eighth of memory_mb each, as totals (budget.rs). - gateway.rs request(): an id that was open went out a second time. One log line for many spoilt answers.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: the listener, pipelined commands, which are begun at once, and answers in their order.
 
+use crate::budget::{Budget, Share};
 use crate::gateway::{Gateway, Shared};
 use crate::resp::{self, Broken, Command};
 use frostvale::{EffectWord, Name};
@@ -10,7 +11,7 @@
 use std::net::Shutdown;
 use std::ops::Range;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -19,8 +20,20 @@
 const PIPELINE_MOST: usize = 128;
 /// Answers that a client does not read: past this it is closed.
 const UNREAD_MOST: usize = 1 << 20;
-/// Room that a connection keeps between commands.
+/// Room that a connection keeps between commands, and has however full the memory is.
 const KEPT: usize = 16 * 1024;
+/// A client's first command, and the rest of any that it has begun, is there within this time, however it
+/// dribbles. What it was sent and doesn't take is as much a silence.
+const SPEAK: Duration = Duration::from_millis(2500);
+/// One that asks nothing more is closed after this time; after the shorter one while the table is half full.
+const IDLE_MOST: Duration = Duration::from_secs(20);
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// How often the times above are looked at.
+const LOOK: Duration = Duration::from_millis(200);
+/// With no room and nobody to make any, a new connection is looked for again after this time.
+const FULL: Duration = Duration::from_millis(20);
+/// The longest time to wait that is taken, in ms, where the class sets no deadline.
+const WAIT_MOST: f64 = 60_000.0;
 /// After an error a client is given this long to read it: closing over unread input would wipe it out.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -32,6 +45,8 @@
     fields: Range<usize>,
     deadline: Range<usize>,
     pub customer: Name,
+    /// The id that the client gave it.
+    pub wire: u64,
     pub class: usize,
     pub plan: usize,
     pub units: f64,
@@ -58,16 +73,18 @@
     fn read(gateway: &Gateway, bytes: &[u8], command: &Command) -> Result<Ask, &'static str> {
         let hex = |k: usize| {
             let text = std::str::from_utf8(command.part(bytes, k)).ok()?;
-            if text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()) { Some(text) } else { None }
+            let sound = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+            let number = u64::from_str_radix(text, 16).ok().filter(|_| sound)?;
+            Some((text, number))
         };
         if !(4..=resp::PARTS).contains(&command.count) {
             return Err("wrong number of arguments");
         }
-        let customer = hex(1).ok_or("bad customer")?;
-        if u64::from_str_radix(customer, 16).map_err(|_| "bad customer")? >= 1 << 33 {
-            return Err("bad customer");
+        let (customer, _) = hex(1).filter(|(_, number)| *number < 1 << 33).ok_or("bad customer")?;
+        let (_, wire) = hex(2).ok_or("bad id")?;
+        if gateway.is_open(wire) {
+            return Err("this id is open already");
         }
-        hex(2).ok_or("bad id")?;
         let fields = command.range(3);
         let text = std::str::from_utf8(&bytes[fields.clone()]).map_err(|_| "bad fields")?;
         let (mut class, mut plan, mut deadline) = (None, None, None);
@@ -87,8 +104,8 @@
                     .replace(gateway.conf.plans.iter().position(|p| p.name == value).ok_or("bad t")?)
                     .is_some(),
                 "d" => {
-                    let ms = whole(value).filter(|ms| (1..=3_600_000).contains(ms)).ok_or("bad d")?;
-                    deadline.replace((f64::from(ms), place)).is_some()
+                    let ms = whole(value).map(f64::from).filter(|ms| (1.0..=WAIT_MOST).contains(ms));
+                    deadline.replace((ms.ok_or("bad d")?, place)).is_some()
                 }
                 "units" => {
                     let most = if gateway.settings.largest > 0.0 { gateway.settings.largest } else { 1e6 };
@@ -124,6 +141,9 @@
             return Err("missing k");
         }
         let (wait, deadline) = deadline.ok_or("missing d")?;
+        // Past the class's deadline no answer is of use, whatever the client would wait.
+        let most = gateway.conf.classes[class].deadline;
+        let wait = if most > 0.0 { wait.min(most) } else { wait };
         Ok(Ask {
             command: bytes[..command.len].into(),
             // The fields' own head stands between the end of the part before and them.
@@ -131,6 +151,7 @@
             fields,
             deadline,
             customer: customer.into(),
+            wire,
             class,
             plan: plan.ok_or("missing t")?,
             units: units.ok_or("missing units")?,
@@ -156,6 +177,8 @@
     /// What stands ready behind an answer that is still waited for.
     ready: usize,
     broken: bool,
+    /// Since when the socket has taken nothing of what it should.
+    stuck: Option<Instant>,
 }
 
 /// A client's connection.
@@ -167,12 +190,22 @@
     blocked: Cell<bool>,
     /// To be closed as soon as nothing is in hand.
     closing: Cell<bool>,
-    used: Cell<f64>,
+    /// When the last answer was given or command came, and whether there ever was a command, and a request.
+    used: Cell<Instant>,
+    spoke: Cell<bool>,
+    asked: Cell<bool>,
+    /// Since when a command is half here.
+    half: Cell<Option<Instant>>,
+    /// Its time to speak is up.
+    overdue: Cell<bool>,
+    reading: Share,
+    unread: Share,
 }
 
 impl Client {
     /// Gives the answer to a request, in its turn.
     pub fn answer(&self, id: u64, bytes: &[u8]) {
+        self.used.set(Instant::now());
         let mut out = self.out.borrow_mut();
         if matches!(out.slots.front(), Some(Slot::Waiting(first)) if *first == id) {
             out.slots.pop_front();
@@ -226,11 +259,15 @@
             0
         };
         out.bytes.extend_from_slice(&bytes[taken..]);
+        if !out.bytes.is_empty() && out.stuck.is_none() {
+            out.stuck = Some(Instant::now());
+        }
     }
 
     fn check(&self, out: &mut Out) {
         // Who sends and never reads must not fill the memory.
-        out.broken |= out.bytes.len() + out.ready > UNREAD_MOST;
+        let unread = out.bytes.len() + out.ready;
+        out.broken |= !self.unread.set(unread, KEPT) || unread > UNREAD_MOST;
         if out.broken || !out.bytes.is_empty() || self.blocked.get() || self.closing.get() {
             self.wake.notify_one();
         }
@@ -239,11 +276,15 @@
     fn flush(&self) {
         let mut out = self.out.borrow_mut();
         match self.stream.try_write(&out.bytes) {
-            Ok(n) if n == out.bytes.len() => out.bytes = Vec::new(),
-            Ok(n) => drop(out.bytes.drain(..n)),
+            Ok(n) if n == out.bytes.len() => (out.bytes, out.stuck) = (Vec::new(), None),
+            Ok(n) => {
+                out.bytes.drain(..n);
+                out.stuck = Some(Instant::now());
+            }
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(_) => out.broken = true,
         }
+        self.unread.set(out.bytes.len() + out.ready, KEPT);
     }
 
     /// Whether it stands between requests.
@@ -252,6 +293,25 @@
         out.slots.is_empty() && out.bytes.is_empty()
     }
 
+    /// Ends it where one of its times is up. `idle` is how long it may stand between requests.
+    fn look(&self, now: Instant, idle: Duration) {
+        let past = |since: Instant, most: Duration| now.saturating_duration_since(since) > most;
+        let mut out = self.out.borrow_mut();
+        if out.stuck.is_some_and(|since| past(since, SPEAK)) {
+            out.broken = true;
+            self.wake.notify_one();
+        } else if out.slots.is_empty() && out.bytes.is_empty() {
+            let late = self.half.get().is_some_and(|since| past(since, SPEAK));
+            if late || (!self.spoke.get() && past(self.used.get(), SPEAK)) {
+                self.overdue.set(true);
+                self.wake.notify_one();
+            } else if self.half.get().is_none() && past(self.used.get(), idle) {
+                drop(out);
+                self.close_soon();
+            }
+        }
+    }
+
     /// Has it closed once nothing is in hand.
     fn close_soon(&self) {
         self.closing.set(true);
@@ -264,11 +324,27 @@
     all: RefCell<HashMap<u64, Rc<Client>>>,
     most: usize,
     left: Notify,
+    reading: Budget,
+    unread: Budget,
 }
 
 impl Clients {
-    pub fn new(most: usize) -> Rc<Clients> {
-        Rc::new(Clients { all: RefCell::default(), most, left: Notify::new() })
+    /// `memory` bounds what all connections together have read of commands not whole yet, and as much again
+    /// what of answers they do not take.
+    pub fn new(most: usize, memory: usize) -> Rc<Clients> {
+        let (reading, unread) = (Budget::new(memory), Budget::new(memory));
+        Rc::new(Clients { all: RefCell::default(), most, left: Notify::new(), reading, unread })
+    }
+
+    /// The task that ends connections whose time is up.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            let all = self.all.borrow();
+            let idle = if all.len() > self.most / 2 { IDLE_LEAST } else { IDLE_MOST };
+            let now = Instant::now();
+            all.values().for_each(|client| client.look(now, idle));
+        }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -285,27 +361,34 @@
         self.all.borrow().values().for_each(|c| c.close_soon());
     }
 
-    /// Has the connection closed that has been between requests the longest.
+    /// Has the connection closed that has been between requests the longest, one that never asked first.
     fn evict(&self) {
         let all = self.all.borrow();
         let idle = all.values().filter(|c| !c.closing.get() && c.idle());
-        if let Some(client) = idle.min_by(|a, b| a.used.get().total_cmp(&b.used.get())) {
+        if let Some(client) = idle.min_by_key(|c| (c.asked.get(), c.used.get())) {
             client.close_soon();
         }
     }
 
     /// Takes in connections until it is dropped.
     pub async fn accept(self: Rc<Self>, listener: &TcpListener, gateway: Shared) {
+        let mut complained = false;
         loop {
             while self.all.borrow().len() >= self.most {
                 self.evict();
-                self.one_left().await;
+                // Where all are in use, one may fall idle without leaving.
+                let _ = timeout(FULL, self.one_left()).await;
             }
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream, &gateway),
+                Ok((stream, _)) => {
+                    complained = false;
+                    self.admit(stream, &gateway);
+                }
                 // Out of descriptors, most likely: make room, and don't spin while there is none.
                 Err(e) => {
-                    eprintln!("frostvale: cannot accept a connection: {e}");
+                    if !std::mem::replace(&mut complained, true) {
+                        eprintln!("frostvale: cannot accept a connection: {e}");
+                    }
                     self.evict();
                     sleep(Duration::from_millis(50)).await;
                 }
@@ -322,7 +405,13 @@
             wake: Notify::new(),
             blocked: Cell::new(false),
             closing: Cell::new(false),
-            used: Cell::new(gateway.borrow().now()),
+            used: Cell::new(Instant::now()),
+            spoke: Cell::new(false),
+            asked: Cell::new(false),
+            half: Cell::new(None),
+            overdue: Cell::new(false),
+            reading: self.reading.share(),
+            unread: self.unread.share(),
         });
         let number = gateway.borrow_mut().next_id();
         self.all.borrow_mut().insert(number, client.clone());
@@ -358,10 +447,17 @@
         if room && !bytes.is_empty() {
             match take(gateway, client, &mut bytes) {
                 Ok(true) => continue,
+                Ok(false) if client.half.get().is_none() => client.half.set(Some(Instant::now())),
                 Ok(false) => {}
                 Err(broken) => return refuse(client, &broken).await,
             }
         }
+        if !client.reading.set(bytes.capacity(), KEPT) {
+            return refuse(client, &Broken("no room for so long a command now")).await;
+        }
+        if client.overdue.get() && client.idle() {
+            return refuse(client, &Broken("no whole command in time")).await;
+        }
         let closing = client.closing.get();
         if closing && client.idle() {
             // A request that is here already is served; closing over it would also wipe out the last answer.
@@ -411,6 +507,11 @@
     } else {
         bytes.drain(..at);
     }
+    if at > 0 {
+        client.half.set(None);
+        client.spoke.set(true);
+        client.used.set(Instant::now());
+    }
     ended.map(|()| at > 0)
 }
 
@@ -421,7 +522,7 @@
         match ask {
             Ok(ask) => {
                 let mut gateway = gateway.borrow_mut();
-                client.used.set(gateway.now());
+                client.asked.set(true);
                 if !gateway.has_room(ask.command.len()) {
                     return client.say(b"-BUSY\r\n");
                 }
--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -57,7 +57,16 @@
     pub settings: Settings,
 }
 
+/// Each of the four kinds of thing that traffic fills the memory with, commands half here, commands in hand,
+/// answers half here and answers not taken, may have this part of it; what is left is for all else.
+const MEMORY_PART: usize = 8;
+
 impl Config {
+    /// What one kind of thing may take of the memory.
+    pub fn memory_part(&self) -> usize {
+        self.memory / MEMORY_PART
+    }
+
     /// Reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand over it.
     pub fn read() -> Result<Config, String> {
         Self::load(true)
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -6,11 +6,11 @@
 use crate::discovery::Listed;
 use crate::peers::Peers;
 use crate::resp::{self, Reply};
-use crate::workers::{self, Conn, Place, Workers};
+use crate::workers::{self, Conn, Place, Refusal, Workers};
 use frostvale::*;
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime};
@@ -27,8 +27,15 @@
 const OVERDUE_MS: f64 = 3.0;
 /// Pooled connections are closed after this part of the time at which workers close them.
 const IDLE_PART: f64 = 0.5;
-/// The part of the memory that commands in hand may take.
-const HELD_PART: usize = 4;
+/// A connection rests this long after an answer: what an answer brings too much may come a moment later, and
+/// must not be taken for the next one.
+const REST_MS: f64 = 5.0;
+/// A connection that is not up after this part of the time that is left is given up, so that time for
+/// another worker remains.
+const CONNECT_PART: f64 = 0.25;
+const CONNECT_LEAST_MS: f64 = 50.0;
+/// Timers that are void may stand in the queue up to this many, or as many as mean something.
+const DUE_LEAST: usize = 1024;
 
 /// Milliseconds of Unix time as of the start, moved on by the monotonic clock: workers' start times can be
 /// compared with it, and it never steps back.
@@ -89,22 +96,28 @@
     last_id: u64,
     held: usize,
     held_most: usize,
+    /// The clients' ids of the requests in hand.
+    open: HashSet<u64>,
     workers: Workers,
     peers: Option<Peers>,
     events: VecDeque<Event>,
     pumping: bool,
     /// What is due when, in microseconds of the clock.
     due: BinaryHeap<Reverse<(u64, Due)>>,
+    due_most: usize,
     sooner: Rc<Notify>,
     slept_for: u64,
     /// Told when discovery has given its first list.
     pub news: Rc<Notify>,
     scratch: Vec<u8>,
+    /// How many answers could not be read since the last line on it in the log, and the last of them.
+    spoilt: Option<(u32, String)>,
 }
 
 impl Gateway {
     pub fn new(config: Config, peers: Option<Peers>, connections: usize) -> Result<Shared, SettingsError> {
         let control = Control::new(config.settings.clone(), config.seed)?;
+        let memory = config.memory_part();
         let gateway = Rc::new_cyclic(|me| {
             RefCell::new(Gateway {
                 me: me.clone(),
@@ -115,16 +128,19 @@
                 requests: HashMap::new(),
                 last_id: 0,
                 held: 0,
-                held_most: config.memory / HELD_PART,
-                workers: Workers::new(connections),
+                held_most: memory,
+                open: HashSet::new(),
+                workers: Workers::new(connections, memory),
                 peers,
                 events: VecDeque::new(),
                 pumping: false,
                 due: BinaryHeap::new(),
+                due_most: DUE_LEAST,
                 sooner: Rc::default(),
                 slept_for: u64::MAX,
                 news: Rc::default(),
                 scratch: Vec::new(),
+                spoilt: None,
             })
         });
         gateway.borrow_mut().sweep();
@@ -144,7 +160,7 @@
 
     /// News of the workers.
     pub fn listed(&mut self, list: Listed) {
-        let over = self.workers.listed(&list);
+        let (over, replaced) = self.workers.listed(&list);
         let number = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).unwrap_or(names.len()).try_into().unwrap_or(u32::MAX)
         };
@@ -157,7 +173,23 @@
             health: t.health,
             since: t.boot_ms,
         };
-        let servers = list.targets.iter().map(server).collect();
+        let mut servers: Vec<Server> = list.targets.iter().map(server).collect();
+        // Whose address has a new owner is gone, whether or not that has been told.
+        for line in servers.iter_mut().filter(|line| replaced.contains(&line.name)) {
+            line.health = Health::Gone;
+        }
+        let gone = |name: &Name| Server {
+            name: name.clone(),
+            zone: 0,
+            cell: 0,
+            kind: 0,
+            size: 1.0,
+            health: Health::Gone,
+            since: 0.0,
+        };
+        let named = |name: &&Name| !servers.iter().any(|line| line.name == **name);
+        let unnamed: Vec<Server> = replaced.iter().filter(named).map(gone).collect();
+        servers.extend(unnamed);
         let listing = if list.all { Listing::Complete } else { Listing::Changes };
         self.event(Event::Servers { listing, servers });
         // What was out at a worker that has restarted since is never answered, and its connection is
@@ -181,6 +213,12 @@
         self.last_id
     }
 
+    /// Whether a request with this id of the client's is in hand, or an attempt of it is still out: a second
+    /// one would reach a worker as a copy of the first.
+    pub fn is_open(&self, wire: u64) -> bool {
+        self.open.contains(&wire)
+    }
+
     /// Whether one more request of this size can be held. Past it requests are turned away unseen, as the
     /// settings' most open requests demand and the memory does.
     pub fn has_room(&self, bytes: usize) -> bool {
@@ -202,6 +240,7 @@
             repeat: ask.repeat,
         };
         self.held += ask.command.len();
+        self.open.insert(ask.wire);
         self.requests.insert(id, InHand { ask, client: Some(client), attempts: 0, attempt: None });
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
         self.event(Event::Request(request));
@@ -224,7 +263,13 @@
     /// A worker answered on a connection. `clean`: with nothing behind it.
     pub fn answered(&mut self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
         let Some(id) = conn.busy.take() else { return };
-        if clean && conn.written.get() {
+        let line = match &reply {
+            Reply::Served { .. } => None,
+            Reply::Error(line) => Some(workers::refusal(&bytes[line.clone()])),
+        };
+        // Any other line is noise, and so may be what comes after it.
+        let known = !matches!(line, Some(Refusal::Other));
+        if clean && known && conn.written.get() {
             self.workers.keep(conn, self.clock.now());
         } else {
             conn.close();
@@ -236,13 +281,11 @@
                 }
                 self.end(id, Ending::Ok, report.and_then(|at| workers::report(&bytes[at])));
             }
-            Reply::Error(line) => {
-                let line = &bytes[line];
-                let mut words = line.split(|b| *b == b' ');
-                let full = words.next() == Some(b"BUSY");
-                let report = words.next_back().and_then(workers::report);
-                self.end(id, if full { Ending::Full } else { Ending::Error }, report);
-            }
+            Reply::Error(_) => match line {
+                Some(Refusal::Busy(report)) => self.end(id, Ending::Full, report),
+                Some(Refusal::Failed(report)) => self.end(id, Ending::Error, report),
+                _ => self.end(id, Ending::Error, None),
+            },
         }
     }
 
@@ -250,7 +293,10 @@
     pub fn worker_closed(&mut self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
         self.workers.forget(conn);
         if let Some(what) = spoilt {
-            eprintln!("frostvale: {} answered badly: {what}", conn.worker);
+            // A line for each would be a flood of its own.
+            let (count, last) = self.spoilt.get_or_insert((0, String::new()));
+            *count += 1;
+            *last = format!("{}: {what}", conn.worker);
         }
         if let Some(id) = conn.busy.get() {
             self.give_up(id, Ending::Reset);
@@ -319,6 +365,7 @@
             && let Some(r) = self.requests.remove(&id)
         {
             self.held -= r.ask.command.len();
+            self.open.remove(&r.ask.wire);
         }
     }
 
@@ -334,7 +381,7 @@
         }
         self.at(not_past, Due::Attempt(id, number));
         // A connection that breaks before anything is written has cost nothing: the next one is as good.
-        while let Some(conn) = self.workers.take(&server) {
+        while let Some(conn) = self.workers.take(&server, now - REST_MS) {
             if self.begin(id, &conn) {
                 return;
             }
@@ -346,7 +393,9 @@
         let (Some(place), Some(gateway)) = (self.workers.place(), self.me.upgrade()) else {
             return self.end(id, Ending::Unreachable, None);
         };
-        let most = Duration::from_secs_f64(self.conf.bounds.connect_timeout.clamp(1.0, 60_000.0) / 1000.0);
+        let part = (CONNECT_PART * (not_past - now)).max(CONNECT_LEAST_MS);
+        let most = self.conf.bounds.connect_timeout.clamp(1.0, 60_000.0).min(part);
+        let most = Duration::from_secs_f64(most / 1000.0);
         tokio::task::spawn_local(async move {
             // A machine that has vanished never answers: the settings say how long to try.
             let stream = timeout(most, TcpStream::connect(address)).await.ok().and_then(Result::ok);
@@ -365,7 +414,8 @@
     ) {
         let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
         let waits = attempt.is_some_and(|a| a.number == number && a.conn.is_none());
-        let conn = stream.map(|stream| Conn::new(stream, server, life, place));
+        let reading = self.workers.reading();
+        let conn = stream.map(|stream| Conn::new(stream, server, life, place, reading));
         if let (Some(conn), Some(gateway)) = (&conn, self.me.upgrade()) {
             conn.listen(gateway);
         }
@@ -465,6 +515,12 @@
     // ---- time ----
 
     fn at(&mut self, at: f64, due: Due) {
+        if self.due.len() >= self.due_most {
+            let mut due = std::mem::take(&mut self.due);
+            due.retain(|Reverse((_, due))| self.awaited(due));
+            self.due_most = DUE_LEAST.max(2 * due.len());
+            self.due = due;
+        }
         let at = (at * 1000.0).max(0.0) as u64;
         self.due.push(Reverse((at, due)));
         if at < self.slept_for {
@@ -476,6 +532,9 @@
         let idle = self.conf.bounds.conn_idle * IDLE_PART;
         let now = self.now();
         self.workers.sweep(now - idle);
+        if let Some((count, last)) = self.spoilt.take() {
+            eprintln!("frostvale: {count} answers could not be read, the last from {last}");
+        }
         self.at(now + (idle / 8.0).clamp(50.0, 2000.0), Due::Sweep);
     }
 
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -1,6 +1,7 @@
 //! A gatekeeper on real sockets: clients in front, workers behind, the decisions in the library.
 //! Start, signals and shutdown.
 
+mod budget;
 mod clients;
 mod config;
 mod discovery;
@@ -62,7 +63,7 @@
     };
     let known = config.known.take();
     let (moved, discovery) = watch::channel(config.discovery);
-    let clients = Clients::new(config.sockets * CLIENT_PART / 100);
+    let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
     let rev = known.as_ref().map(|list| list.rev);
@@ -75,6 +76,7 @@
         spawn_local(peers.listen(gateway.clone(), me));
     }
     spawn_local(Gateway::keep_time(gateway.clone()));
+    spawn_local(clients.clone().keep_time());
     spawn_local(discovery::follow(gateway.clone(), discovery, rev));
     spawn_local(async move {
         while hup.recv().await.is_some() {
--- a/src/bin/frostvale/resp.rs
+++ b/src/bin/frostvale/resp.rs
@@ -118,7 +118,8 @@
     Ok(Some(Command { parts, count, len: at }))
 }
 
-/// The worker's answer at the beginning of the bytes, and how long it is; none while it is not whole.
+/// The worker's answer at the beginning of the bytes, and how long it is, 0 where that can't be told; none
+/// while it is not whole.
 pub fn reply(bytes: &[u8]) -> Result<Option<(Reply, usize)>, Broken> {
     match bytes.first() {
         None => Ok(None),
@@ -130,9 +131,17 @@
             }
             let Some((value, used)) = bulk(bytes, start)? else { return Ok(None) };
             value.ok_or(Broken("an answer without a value"))?;
-            let Some((_, report)) = bulk(bytes, used)? else { return Ok(None) };
-            let Some((report, end)) = bulk(bytes, report)? else { return Ok(None) };
-            Ok(Some((Reply::Served { value: start..used, report }, end)))
+            // The value stands whole. Where what comes with it can't be read, where the answer ends can't be
+            // told, but the value is none the worse.
+            let rest = || match bulk(bytes, used)? {
+                Some((_, report)) => bulk(bytes, report),
+                None => Ok(None),
+            };
+            Ok(match rest() {
+                Ok(None) => None,
+                Ok(Some((report, end))) => Some((Reply::Served { value: start..used, report }, end)),
+                Err(Broken(_)) => Some((Reply::Served { value: start..used, report: None }, 0)),
+            })
         }
     }
 }
@@ -216,6 +225,13 @@
             (len, &bytes[value], &bytes[report]),
             (bytes.len(), &b"$2\r\nhi\r\n"[..], &b"util=0.5"[..])
         );
+        for odd in
+            [&b":7\r\n$-1\r\n"[..], b"$-1\r\n+util\r\n", b"$-1\r\n$9999999\r\n", b"$1\r\nabc", b"$-1\r\n#"]
+        {
+            let bytes = [&b"*3\r\n$2\r\nhi\r\n"[..], odd].concat();
+            let (read, len) = reply(&bytes).expect("sound").expect("whole");
+            assert_eq!((read, len), (Reply::Served { value: 4..12, report: None }, 0));
+        }
         let (read, _) = reply(b"-BUSY\r\n").expect("sound").expect("whole");
         assert_eq!(read, Reply::Error(1..5));
     }
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -1,6 +1,7 @@
 //! Workers: what the list says of each, their pooled connections, and the reading of answers.
 //! A connection carries one attempt at a time, so that giving up one can close it.
 
+use crate::budget::{Budget, Share};
 use crate::discovery::{Listed, Target};
 use crate::gateway::Shared;
 use crate::resp::{self, VALUE_MOST};
@@ -32,6 +33,7 @@
     pub written: Cell<bool>,
     pub idle_since: Cell<f64>,
     task: OnceCell<AbortHandle>,
+    reading: Share,
     _place: Place,
 }
 
@@ -45,7 +47,7 @@
 }
 
 impl Conn {
-    pub fn new(stream: TcpStream, worker: Name, life: u64, place: Place) -> Rc<Conn> {
+    pub fn new(stream: TcpStream, worker: Name, life: u64, place: Place, reading: Share) -> Rc<Conn> {
         // Without it small commands wait for acknowledgements; a socket that fails here fails again soon.
         let _ = stream.set_nodelay(true);
         Rc::new(Conn {
@@ -56,6 +58,7 @@
             written: Cell::new(false),
             idle_since: Cell::new(0.0),
             task: OnceCell::new(),
+            reading,
             _place: place,
         })
     }
@@ -98,6 +101,9 @@
                 Err(_) => return None,
             }
             self.busy.get()?;
+            if !self.reading.set(bytes.capacity(), KEPT) {
+                return Some("no room for so long an answer now");
+            }
             match resp::reply(&bytes) {
                 Ok(None) if bytes.len() > ANSWER_MOST => return Some("an answer is too long"),
                 Ok(None) => {}
@@ -111,6 +117,7 @@
                     bytes.clear();
                     if bytes.capacity() > KEPT {
                         bytes = Vec::new();
+                        self.reading.set(0, 0);
                     }
                 }
                 Err(broken) => return Some(broken.0),
@@ -148,20 +155,28 @@
     all: HashMap<Name, Worker>,
     open: Rc<Cell<usize>>,
     most: usize,
+    reading: Budget,
 }
 
 impl Workers {
-    /// `most` bounds the connections to all of them together.
-    pub fn new(most: usize) -> Workers {
-        Workers { all: HashMap::new(), open: Rc::default(), most }
+    /// `most` bounds the connections to all of them together, `memory` what has been read on them of answers
+    /// that are not whole yet.
+    pub fn new(most: usize, memory: usize) -> Workers {
+        Workers { all: HashMap::new(), open: Rc::default(), most, reading: Budget::new(memory) }
+    }
+
+    /// A new connection's share of the memory.
+    pub fn reading(&self) -> Share {
+        self.reading.share()
     }
 
     pub fn get(&self, name: &str) -> Option<&Worker> {
         self.all.get(name)
     }
 
-    /// Takes the list's news. Gives the workers whose former life has ended.
-    pub fn listed(&mut self, list: &Listed) -> Vec<Name> {
+    /// Takes the list's news. Gives the workers whose former life has ended, and those whose address is now
+    /// that of another one, which started later.
+    pub fn listed(&mut self, list: &Listed) -> (Vec<Name>, Vec<Name>) {
         if list.all {
             for (name, worker) in &mut self.all {
                 if !list.targets.iter().any(|t| *t.uid == **name) {
@@ -169,7 +184,7 @@
                 }
             }
         }
-        let mut over = Vec::new();
+        let (mut over, mut fresh_ones) = (Vec::new(), Vec::new());
         for Target { uid, endpoint, health, boot_ms, .. } in &list.targets {
             let fresh = || Worker {
                 address: *endpoint,
@@ -179,6 +194,9 @@
                 idle: Vec::new(),
             };
             let name: Name = uid.as_str().into();
+            if *health == Health::Up && self.all.get(&name).is_none_or(|w| w.address != *endpoint) {
+                fresh_ones.push(name.clone());
+            }
             let worker = self.all.entry(name.clone()).or_insert_with(fresh);
             if worker.address != *endpoint || *boot_ms > worker.boot_ms {
                 worker.life += 1;
@@ -190,17 +208,32 @@
             }
             (worker.address, worker.health, worker.boot_ms) = (*endpoint, *health, *boot_ms);
         }
+        let mut replaced = Vec::new();
+        // Of two that say nothing of their age the one told last has the address.
+        for fresh in fresh_ones.into_iter().rev() {
+            let owner = self.all.get(&fresh).filter(|w| w.health == Health::Up);
+            let Some((address, boot_ms)) = owner.map(|w| (w.address, w.boot_ms)) else { continue };
+            for (name, worker) in &mut self.all {
+                let other = *name != fresh && worker.health != Health::Gone && worker.address == address;
+                if other && worker.boot_ms <= boot_ms {
+                    worker.health = Health::Gone;
+                    replaced.push(name.clone());
+                }
+            }
+        }
         for worker in self.all.values_mut().filter(|w| w.health != Health::Up) {
             worker.idle.drain(..).for_each(|conn| conn.close());
         }
         self.all.retain(|_, worker| worker.health != Health::Gone);
-        over
+        (over, replaced)
     }
 
-    /// A pooled connection that is still good: the one used last, so that the others can grow old.
-    pub fn take(&mut self, name: &str) -> Option<Rc<Conn>> {
+    /// A pooled connection that is still good and has rested since before this time: of these the one used
+    /// last, so that the others can grow old.
+    pub fn take(&mut self, name: &str, rested: f64) -> Option<Rc<Conn>> {
         let idle = &mut self.all.get_mut(name)?.idle;
-        while let Some(conn) = idle.pop() {
+        while let Some(at) = idle.iter().rposition(|conn| conn.idle_since.get() <= rested) {
+            let conn = idle.remove(at);
             if !conn.stale() {
                 return Some(conn);
             }
@@ -248,6 +281,29 @@
     }
 }
 
+/// What an error line says.
+pub enum Refusal {
+    /// Turned away unseen: only this exact word, with a report or none, means that it never ran.
+    Busy(Option<Report>),
+    /// A failure in the worker's own words.
+    Failed(Option<Report>),
+    /// No line that a worker writes.
+    Other,
+}
+
+/// Reads an error line, without its sign and end.
+pub fn refusal(line: &[u8]) -> Refusal {
+    let mut words = line.split(|b| *b == b' ');
+    let first = words.next().unwrap_or_default();
+    let last = words.next_back();
+    match (first, last.map(report), words.next().is_some()) {
+        (b"BUSY", None, _) => Refusal::Busy(None),
+        (b"BUSY", Some(Some(report)), false) => Refusal::Busy(Some(report)),
+        (b"ERR", report, _) => Refusal::Failed(report.flatten()),
+        _ => Refusal::Other,
+    }
+}
+
 /// A load report: names and figures. What can't be read is passed over.
 pub fn report(text: &[u8]) -> Option<Report> {
     let mut report = Report::default();
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -43,6 +43,9 @@
     #[serde(default)]
     worth: f64,
     target: f64,
+    /// No client of this class waits longer, in milliseconds; 0 where nothing is said.
+    #[serde(default)]
+    pub deadline: f64,
     #[serde(default)]
     late_worth: f64,
     /// Whether it may be repeated.
