Make room for clients from a third of the descriptors on

Cause: main.rs gave clients 45 in 100 of the descriptors, while clients hold a third at most for requests; with their places full of idle connections they wait for one to be closed, and nothing closed it. Ruled out by trace: has_room() (never said no), bad commands (none), time-outs (none came due).

Now the table is 33 in 100, and the silent go first only where they hold over half of it.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -190,10 +190,9 @@
     blocked: Cell<bool>,
     /// To be closed as soon as nothing is in hand.
     closing: Cell<bool>,
-    /// When the last answer was given or command came, and whether there ever was a command, and a request.
+    /// When the last answer was given or command came, and whether there ever was a command.
     used: Cell<Instant>,
     spoke: Cell<bool>,
-    asked: Cell<bool>,
     /// Since when a command is half here.
     half: Cell<Option<Instant>>,
     /// Its time to speak is up.
@@ -361,11 +360,13 @@
         self.all.borrow().values().for_each(|c| c.close_soon());
     }
 
-    /// Has the connection closed that has been between requests the longest, one that never asked first.
+    /// Has the connection closed that has been between requests the longest: one that never spoke where those
+    /// hold over half of the table. Fewer of them may be pools that are opened ahead, and say nothing yet.
     fn evict(&self) {
         let all = self.all.borrow();
+        let flood = all.values().filter(|c| !c.spoke.get()).count() > self.most / 2;
         let idle = all.values().filter(|c| !c.closing.get() && c.idle());
-        if let Some(client) = idle.min_by_key(|c| (c.asked.get(), c.used.get())) {
+        if let Some(client) = idle.min_by_key(|c| (flood && c.spoke.get(), c.used.get())) {
             client.close_soon();
         }
     }
@@ -407,7 +408,6 @@
             closing: Cell::new(false),
             used: Cell::new(Instant::now()),
             spoke: Cell::new(false),
-            asked: Cell::new(false),
             half: Cell::new(None),
             overdue: Cell::new(false),
             reading: self.reading.share(),
@@ -522,7 +522,6 @@
         match ask {
             Ok(ask) => {
                 let mut gateway = gateway.borrow_mut();
-                client.asked.set(true);
                 if !gateway.has_room(ask.command.len()) {
                     return client.say(b"-BUSY\r\n");
                 }
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -28,8 +28,9 @@
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const FAREWELL: Duration = Duration::from_millis(500);
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
-/// listener, discovery, notes and what is about to be closed.
-const CLIENT_PART: usize = 45;
+/// listener, discovery, notes and what is about to be closed. Clients hold a third at most for requests, and one
+/// at its own limit can't open a connection before an idle one of its is closed: so room is made from there on.
+const CLIENT_PART: usize = 33;
 const WORKER_PART: usize = 45;
 
 fn main() -> ExitCode {
