--- /dev/null
+++ b/crates/link/src/node.rs
@@ -0,0 +1,371 @@
+//! The gatekeeper's end: it listens at a Unix socket, takes batches in and gives batches out. All on the thread of
+//! the gatekeeper, which never waits here: what an agent does not take is held up to a bound, then it is cut off.
+
+use crate::VERSION;
+use crate::codec::{self, Frames};
+use crate::proto::{
+    Check, Decision, FromNode, OutsideAsk, OutsideState, OutsideVerdict, Seen, Settle, ToNode,
+};
+use crate::proto::{Hello, Welcome};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::cell::{Cell, RefCell};
+use std::fs;
+use std::io::{self, ErrorKind};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream as StdStream;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// An agent says who it is within this time.
+const HELLO: Duration = Duration::from_secs(2);
+/// A frame once begun, and what is to be taken, may stand still this long.
+const STALL: Duration = Duration::from_secs(5);
+/// Bytes that an agent has not taken; past this it is cut off.
+pub const UNREAD_MOST: usize = 1 << 20;
+/// So many items of a batch at one stroke, then others have their turn.
+const STROKE: usize = 32;
+/// About what one item takes once it is encoded, for those that are not yet.
+const ITEM: usize = 40;
+/// Items that go into one frame at the most: well below the longest frame.
+const BATCH: usize = 2000;
+
+/// What the gatekeeper does with what comes in. Called on its own thread, and never waited for.
+pub trait Host {
+    /// What this gatekeeper says of itself.
+    fn welcome(&self) -> Welcome;
+    /// An agent has come, and has been welcomed.
+    fn joined(&self, peer: &Rc<Peer>, hello: Hello);
+    /// May a shop have units? The answer goes to [`Peer::decide`], now or later.
+    fn check(&self, peer: &Rc<Peer>, check: Check);
+    /// What became of a held grant.
+    fn settle(&self, peer: &Rc<Peer>, settle: Settle);
+    /// What an outside service said.
+    fn outside(&self, peer: &Rc<Peer>, verdict: OutsideVerdict);
+    /// The agent has gone, or was cut off. `why` is there where it is worth a line in the log.
+    fn left(&self, peer: &Rc<Peer>, why: Option<String>);
+}
+
+/// One agent's connection.
+pub struct Peer {
+    /// Told apart from all others of this process.
+    pub number: u64,
+    next: RefCell<FromNode>,
+    items: Cell<usize>,
+    unread: Cell<usize>,
+    wake: Notify,
+    overfull: Cell<bool>,
+    ending: Cell<bool>,
+}
+
+impl Peer {
+    fn new(number: u64) -> Rc<Peer> {
+        Rc::new(Peer {
+            number,
+            next: RefCell::default(),
+            items: Cell::new(0),
+            unread: Cell::new(0),
+            wake: Notify::new(),
+            overfull: Cell::new(false),
+            ending: Cell::new(false),
+        })
+    }
+
+    /// Puts something into the next batch. False if the agent takes too little: then it is being cut off.
+    fn push(&self, size: usize, put: impl FnOnce(&mut FromNode)) -> bool {
+        let items = self.items.get();
+        if self.unread.get() + items * ITEM + size > UNREAD_MOST {
+            self.overfull.set(true);
+        }
+        if !self.overfull.get() {
+            put(&mut self.next.borrow_mut());
+            self.items.set(items + 1);
+        }
+        if items == 0 || self.overfull.get() {
+            self.wake.notify_one();
+        }
+        !self.overfull.get()
+    }
+
+    /// Answers a check.
+    pub fn decide(&self, decision: Decision) {
+        self.push(decision.error.len(), |next| next.decisions.push(decision));
+    }
+
+    /// Tells of a shop's set.
+    pub fn seen(&self, seen: Seen) {
+        self.push(0, |next| next.seen.push(seen));
+    }
+
+    /// Asks an outside service. False if the agent takes nothing.
+    pub fn ask_outside(&self, ask: OutsideAsk) -> bool {
+        self.push(0, |next| next.outside.push(ask))
+    }
+
+    /// Tells of the breaker.
+    pub fn outside_state(&self, state: OutsideState) {
+        self.push(0, |next| next.outside_states.push(state));
+    }
+
+    /// Says that the gatekeeper stops; what is in hand is still answered.
+    pub fn bye(&self, why: &str) {
+        self.push(why.len(), |next| next.bye = why.to_string());
+    }
+
+    /// Cuts it off.
+    pub fn end(&self) {
+        self.ending.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Encodes what has been put together. Long batches are parted.
+    fn encode(&self, bytes: &mut Vec<u8>) -> Result<(), codec::FrameError> {
+        let mut all = std::mem::take(&mut *self.next.borrow_mut());
+        if self.items.replace(0) == 0 {
+            return Ok(());
+        }
+        while all.decisions.len() > BATCH || all.seen.len() > BATCH || all.outside.len() > BATCH {
+            let part = FromNode {
+                decisions: all.decisions.drain(..all.decisions.len().min(BATCH)).collect(),
+                seen: all.seen.drain(..all.seen.len().min(BATCH)).collect(),
+                outside: all.outside.drain(..all.outside.len().min(BATCH)).collect(),
+                ..FromNode::default()
+            };
+            codec::put(bytes, &part)?;
+        }
+        codec::put(bytes, &all)
+    }
+}
+
+/// A listening socket that only its owner may connect to.
+#[derive(Debug)]
+pub struct Door {
+    listener: UnixListener,
+    path: PathBuf,
+}
+
+/// Opens the socket, with mode 0600 before anyone can connect. A file that a dead process has left is replaced; one
+/// at which somebody still listens is not, nor is anything that is no socket.
+///
+/// # Errors
+/// With what stands in the way.
+pub fn open(path: &Path) -> Result<Door, String> {
+    let said = |what: &str, e: io::Error| format!("link: socket {}: {what}: {e}", path.display());
+    match fs::symlink_metadata(path) {
+        Ok(found) => {
+            use std::os::unix::fs::FileTypeExt;
+            if !found.file_type().is_socket() {
+                return Err(format!(
+                    "link: socket {}: stands there already and is no socket",
+                    path.display()
+                ));
+            }
+            match StdStream::connect(path) {
+                Ok(_) => {
+                    return Err(format!("link: socket {}: another process listens there", path.display()));
+                }
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(e) => return Err(said("it can't be told whether it is in use", e)),
+            }
+        }
+        Err(e) if e.kind() == ErrorKind::NotFound => {}
+        Err(e) => return Err(said("cannot look at it", e)),
+    }
+    let fresh = path.with_extension(format!("{}.new", std::process::id()));
+    let _ = fs::remove_file(&fresh);
+    let bound = (|| {
+        let socket = Socket::new(Domain::UNIX, Type::STREAM, None)?;
+        socket.bind(&SockAddr::unix(&fresh)?)?;
+        fs::set_permissions(&fresh, fs::Permissions::from_mode(0o600))?;
+        socket.listen(64)?;
+        socket.set_nonblocking(true)?;
+        fs::rename(&fresh, path)?;
+        UnixListener::from_std(std::os::unix::net::UnixListener::from(std::os::fd::OwnedFd::from(socket)))
+    })();
+    match bound {
+        Ok(listener) => Ok(Door { listener, path: path.to_path_buf() }),
+        Err(e) => {
+            let _ = fs::remove_file(&fresh);
+            Err(said("cannot listen", e))
+        }
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.path);
+    }
+}
+
+/// Takes agents in until dropped, `most` of them at once; one more is told so and closed.
+pub async fn serve(door: Door, host: Rc<dyn Host>, most: usize) {
+    let inside = Rc::new(Cell::new(0));
+    let mut number = 0;
+    loop {
+        let Ok((stream, _)) = door.listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        if inside.get() >= most {
+            let mut bytes = Vec::new();
+            let bye = format!("{most} agents are connected already");
+            if codec::put(&mut bytes, &FromNode { bye, ..FromNode::default() }).is_ok() {
+                let _ = stream.try_write(&bytes);
+            }
+            continue;
+        }
+        inside.set(inside.get() + 1);
+        number += 1;
+        let (peer, host, inside) = (Peer::new(number), host.clone(), inside.clone());
+        spawn_local(async move {
+            let mut welcomed = false;
+            let ended = talk(&stream, &peer, &host, &mut welcomed).await;
+            inside.set(inside.get() - 1);
+            if welcomed || ended.is_err() {
+                host.left(&peer, ended.err());
+            }
+        });
+    }
+}
+
+/// The first frame: who speaks, and which version.
+async fn greet(stream: &UnixStream, frames: &mut Frames) -> Result<Option<ToNode>, String> {
+    loop {
+        if let Some(first) = frames.take::<ToNode>().map_err(|e| e.to_string())? {
+            return Ok(Some(first));
+        }
+        stream.readable().await.map_err(|e| e.to_string())?;
+        match stream.try_read_buf(frames.room()) {
+            Ok(0) => return Ok(None),
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return Ok(None),
+        }
+    }
+}
+
+/// Serves one agent until either side ends it. An error says why the agent was cut off.
+async fn talk(
+    stream: &UnixStream,
+    peer: &Rc<Peer>,
+    host: &Rc<dyn Host>,
+    welcomed: &mut bool,
+) -> Result<(), String> {
+    let mut frames = Frames::default();
+    let first = timeout(HELLO, greet(stream, &mut frames)).await;
+    let Some(first) = first.map_err(|_| "it did not say who it is in time")?? else { return Ok(()) };
+    let Some(hello) = first.hello.clone() else { return Err("its first frame is no hello".into()) };
+    let mut bytes = Vec::new();
+    let version = hello.version;
+    if version != VERSION {
+        let bye = format!("version {version} is not spoken here; {VERSION} is");
+        codec::put(&mut bytes, &FromNode { bye, ..FromNode::default() }).map_err(|e| e.to_string())?;
+        let _ = stream.try_write(&bytes);
+        return Err(format!("it speaks version {version}, this gatekeeper {VERSION}"));
+    }
+    *welcomed = true;
+    let welcome = Some(host.welcome());
+    codec::put(&mut bytes, &FromNode { welcome, ..FromNode::default() }).map_err(|e| e.to_string())?;
+    host.joined(peer, hello);
+    let mut work = Work::of(ToNode { hello: None, ..first });
+    // Since when the agent has taken nothing of what it should; since when a frame is half here.
+    let (mut stuck, mut half) = (None::<Instant>, None::<Instant>);
+    loop {
+        if peer.overfull.get() {
+            return Err(format!("it left more than {UNREAD_MOST} bytes unread"));
+        }
+        peer.encode(&mut bytes).map_err(|e| e.to_string())?;
+        if !bytes.is_empty() {
+            match stream.try_write(&bytes) {
+                Ok(n) => {
+                    bytes.drain(..n);
+                    stuck = None;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return Ok(()),
+            }
+            if bytes.is_empty() && bytes.capacity() > 64 * 1024 {
+                bytes = Vec::new();
+            }
+        }
+        peer.unread.set(bytes.len());
+        stuck = if bytes.is_empty() { None } else { stuck.or_else(|| Some(Instant::now())) };
+        if peer.ending.get() {
+            return Ok(());
+        }
+        // One frame at a time, a few items at one stroke: clients and workers come in between.
+        if work.stroke(peer, host) {
+            yield_now().await;
+            continue;
+        }
+        if let Some(next) = frames.take::<ToNode>().map_err(|e| e.to_string())? {
+            if next.hello.is_some() {
+                return Err("it said hello twice".into());
+            }
+            work = Work::of(next);
+            half = None;
+            continue;
+        }
+        half = if frames.half() { half.or_else(|| Some(Instant::now())) } else { None };
+        let limit = [stuck, half].into_iter().flatten().min().map(|since| since + STALL);
+        tokio::select! {
+            ready = stream.readable() => {
+                if ready.is_err() {
+                    return Ok(());
+                }
+                match stream.try_read_buf(frames.room()) {
+                    Ok(0) if frames.half() => return Err("it ended inside a frame".into()),
+                    Ok(0) => return Ok(()),
+                    Ok(_) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return Ok(()),
+                }
+            }
+            _ = stream.writable(), if !bytes.is_empty() => {}
+            () = peer.wake.notified() => {}
+            () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() => {
+                return Err(if half.is_some() { "a frame stood half sent" } else { "it took nothing in time" }.into());
+            }
+        }
+    }
+}
+
+/// What is left of a frame.
+struct Work {
+    checks: std::vec::IntoIter<Check>,
+    settles: std::vec::IntoIter<Settle>,
+    outside: std::vec::IntoIter<OutsideVerdict>,
+}
+
+impl Work {
+    fn of(frame: ToNode) -> Work {
+        Work {
+            checks: frame.checks.into_iter(),
+            settles: frame.settles.into_iter(),
+            outside: frame.outside.into_iter(),
+        }
+    }
+
+    /// Does some of it. False if there was none.
+    fn stroke(&mut self, peer: &Rc<Peer>, host: &Rc<dyn Host>) -> bool {
+        let mut done = 0;
+        // Verdicts first: requests wait for them.
+        for verdict in self.outside.by_ref().take(STROKE) {
+            host.outside(peer, verdict);
+            done += 1;
+        }
+        for settle in self.settles.by_ref().take(STROKE - done) {
+            host.settle(peer, settle);
+            done += 1;
+        }
+        for check in self.checks.by_ref().take(STROKE - done) {
+            host.check(peer, check);
+            done += 1;
+        }
+        done > 0
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -269,6 +269,12 @@
     },
     /// A request came in.
     Request(Request),
+    /// Somebody asks whether a customer may have these units, and sends whatever they are for by another
+    /// way. It is charged as a request is, once, and answered with [`Action::Verdict`]; `give_up` is when the
+    /// asker no longer waits.
+    Check(Request),
+    /// What a granted check took was not used: the same request, given back once at most.
+    Unused(Request),
     /// An attempt ended.
     Outcome(Outcome),
     /// The client left; the request has ended.
@@ -318,6 +324,17 @@
         /// How long the client should keep away; 0 gives no advice.
         pause: f64,
     },
+    /// What came of a check.
+    Verdict {
+        /// The check.
+        id: u64,
+        /// Whether the units are granted, and charged.
+        granted: bool,
+        /// The units left to the customer as far as known here; infinite where no plan holds it.
+        remaining: f64,
+        /// Milliseconds until the units fit, or after a grant, until the customer's store is full again.
+        reset: f64,
+    },
     /// The final answer "failed", which promises nothing.
     Fail {
         /// The request.
--- a/src/bin/frostvale-drill/wire.rs
+++ b/src/bin/frostvale-drill/wire.rs
@@ -310,7 +310,8 @@
         };
         let gateway = self.gateways.get_mut(&who).ok_or_else(|| unknown(&who))?;
         for action in gateway.handle(now, event) {
-            serde_json::to_writer(&mut self.reply, &spoken(&who, &action)).map_err(|e| e.to_string())?;
+            let Some(reply) = spoken(&who, &action) else { continue };
+            serde_json::to_writer(&mut self.reply, &reply).map_err(|e| e.to_string())?;
             self.reply.push(b'\n');
         }
         Ok(None)
@@ -325,8 +326,9 @@
     format!("an event for {who}, which has not been started")
 }
 
-fn spoken<'a>(who: &'a str, action: &'a Action) -> Reply<'a> {
-    match action {
+/// An action on the wire, where it has words for it.
+fn spoken<'a>(who: &'a str, action: &'a Action) -> Option<Reply<'a>> {
+    Some(match action {
         Action::Send { id, server, not_past } => {
             Reply::Deliver { gatekeeper_id: who, request_id: *id, worker: server, not_past: *not_past }
         }
@@ -341,7 +343,9 @@
             Reply::SetTimer { gatekeeper_id: who, nonce: *token, after: *after }
         }
         Action::Log { text } => Reply::Record { gatekeeper_id: who, msg: text },
-    }
+        // The simulator asks for no checks.
+        Action::Verdict { .. } => return None,
+    })
 }
 
 fn server(entry: &Entry) -> Server {
--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -1,6 +1,6 @@
 //! What the gatekeeper is told: GW_CONFIG and the variables that stand beside it.
 
-use crate::discovery::{self, Listed};
+use crate::listing::{self, Listed};
 use frostvale::{Conf, Settings};
 use serde::Deserialize;
 use std::env;
@@ -108,7 +108,7 @@
             memory: file.limits.memory_mb.clamp(32, 1 << 20) << 20,
             peer_listen,
             peers,
-            known: discovery::listed(&file.known),
+            known: listing::listed(&file.known),
             conf: file.settings,
             settings,
         })
--- /dev/null
+++ b/src/bin/frostvale/extra.rs
@@ -0,0 +1,163 @@
+//! The gatekeeper's own file, which `GW_EXTRA` names: what the platform doesn't know of. Without it all of it is off.
+
+use frostvale::Conf;
+use frostvale_outside::{Mode, Settings};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::env;
+use std::path::PathBuf;
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct File {
+    link: Option<Link>,
+    outside: Option<Outside>,
+}
+
+/// The link to the host's agent.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Link {
+    /// Where the socket stands.
+    pub socket: PathBuf,
+    /// Agents that may be connected at once.
+    #[serde(default = "agents")]
+    pub agents: usize,
+}
+
+fn agents() -> usize {
+    4
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Outside {
+    plans: BTreeMap<String, Word>,
+    deadline_part: Option<f64>,
+    in_hand: Option<usize>,
+    open_ms: Option<f64>,
+    open_most_ms: Option<f64>,
+    keep_ms: Option<f64>,
+    keep_most: Option<usize>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "lowercase")]
+enum Word {
+    Allow,
+    Deny,
+}
+
+/// What the file says; all off where there is none.
+#[derive(Default)]
+pub struct Extra {
+    pub link: Option<Link>,
+    /// How an outside service is consulted.
+    pub outside: Option<Settings>,
+}
+
+impl Extra {
+    /// Reads the file that `GW_EXTRA` names, if it names one. Plans are looked up in the settings.
+    pub fn read(conf: &Conf) -> Result<Extra, String> {
+        let Some(path) = env::var("GW_EXTRA").ok().filter(|path| !path.is_empty()) else {
+            return Ok(Extra::default());
+        };
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        Self::of(&text, conf).map_err(|e| format!("{path}: {e}"))
+    }
+
+    fn of(text: &str, conf: &Conf) -> Result<Extra, String> {
+        // The first line says where and what; the rest is a drawing.
+        let told = |e: toml::de::Error| e.to_string().lines().collect::<Vec<_>>().join(" ");
+        let file: File = toml::from_str(text).map_err(told)?;
+        if let Some(link) = &file.link {
+            if !link.socket.is_absolute() || link.socket.as_os_str().len() > 90 {
+                return Err("link.socket: an absolute path of at most 90 bytes".into());
+            }
+            if !(1..=64).contains(&link.agents) {
+                return Err("link.agents: 1 to 64".into());
+            }
+        }
+        let outside = match file.outside {
+            None => None,
+            Some(_) if file.link.is_none() => return Err("outside: needs [link], which carries it".into()),
+            Some(outside) => Some(settings(outside, conf)?),
+        };
+        Ok(Extra { link: file.link, outside })
+    }
+}
+
+fn settings(outside: Outside, conf: &Conf) -> Result<Settings, String> {
+    let mut plans = vec![None; conf.plans.len()];
+    let names: Vec<&str> = conf.plans.iter().map(|p| p.name.as_str()).collect();
+    let held = conf.settings();
+    for (name, word) in outside.plans {
+        let Some(at) = names.iter().position(|n| *n == name) else {
+            return Err(format!(
+                "outside.plans.{name}: no plan of that name; there are {}",
+                names.join(", ")
+            ));
+        };
+        if matches!(word, Word::Allow) && held.plans[at].ceiling_rate > 0.0 {
+            return Err(format!("outside.plans.{name}: a plan with a hard ceiling takes \"deny\" alone"));
+        }
+        plans[at] = Some(match word {
+            Word::Allow => Mode::Allow,
+            Word::Deny => Mode::Deny,
+        });
+    }
+    let usual = Settings::default();
+    let settings = Settings {
+        plans,
+        deadline_part: outside.deadline_part.unwrap_or(usual.deadline_part),
+        in_hand: outside.in_hand.unwrap_or(usual.in_hand),
+        open_ms: outside.open_ms.unwrap_or(usual.open_ms),
+        open_most_ms: outside.open_most_ms.unwrap_or(usual.open_most_ms),
+        keep_ms: outside.keep_ms.unwrap_or(usual.keep_ms),
+        keep_most: outside.keep_most.unwrap_or(usual.keep_most),
+    };
+    settings.check().map_err(|e| format!("outside.{e}"))?;
+    Ok(settings)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn conf() -> Conf {
+        serde_json::from_str(
+            r#"{"Balancers":1,"Classes":[{"Name":"read","Target":400.0,"Effect":"repeatable"}],
+                "Plans":[{"Name":"basico"},{"Name":"ferreteria","CapRate":2.0}]}"#,
+        )
+        .expect("sound")
+    }
+
+    #[test]
+    fn a_bad_file_is_one_line_that_names_the_field() {
+        let bad = [
+            ("[link]\nsocket = \"rel\"", "link.socket"),
+            ("[link]\nsocket = \"/tmp/s\"\nagents = 0", "link.agents: 1 to 64"),
+            ("[link]\nsocket = \"/tmp/s\"\ncolour = 1", "unknown field `colour`"),
+            ("[lnk]", "unknown field `lnk`"),
+            ("[outside.plans]\nbasico = \"deny\"", "needs [link]"),
+            ("[link]\nsocket = \"/tmp/s\"\n[outside.plans]\ngold = \"deny\"", "outside.plans.gold: no plan"),
+            ("[link]\nsocket = \"/tmp/s\"\n[outside.plans]\nferreteria = \"allow\"", "hard ceiling"),
+            (
+                "[link]\nsocket = \"/tmp/s\"\n[outside]\ndeadline_part = 0.9\nplans = {}",
+                "outside.deadline_part: over 0 and at most 0.5",
+            ),
+        ];
+        for (text, word) in bad {
+            let said = Extra::of(text, &conf()).err().unwrap_or_else(|| panic!("{text:?} was taken"));
+            assert!(said.contains(word) && !said.contains('\n'), "{text:?}: {said}");
+        }
+        assert!(Extra::of("", &conf()).is_ok_and(|e| e.link.is_none() && e.outside.is_none()));
+    }
+
+    #[test]
+    fn the_sample_is_sound() {
+        let sample = include_str!("../../../deploy/frostvale.toml");
+        let extra = Extra::of(sample, &conf()).expect("sound");
+        assert!(extra.link.is_some());
+    }
+}
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -1,13 +1,14 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
 //! attempts and one queue of timers for all of them. It decides nothing: `frostvale::Control` does.
 
-use crate::clients::{Ask, Client};
+use crate::ask::Ask;
 use crate::config::Config;
-use crate::discovery::Listed;
+use crate::listing::{Listed, Target};
 use crate::peers::Peers;
 use crate::resp::{self, Reply};
-use crate::workers::{self, Conn, Place, Refusal, Workers};
+use crate::workers::{self, Conn, Ear, Place, Refusal, Workers};
 use frostvale::*;
+use frostvale_outside::{Breaker, Consult, Counts, Step, Verdict};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -21,6 +22,47 @@
 /// The one owner of all state; every task borrows it for the length of one call.
 pub type Shared = Rc<RefCell<Gateway>>;
 
+/// Who is owed the answer to a request.
+pub trait Caller {
+    /// Gives the final answer, once.
+    fn answer(&self, id: u64, bytes: &[u8]);
+}
+
+/// Who asked for a check.
+pub trait Asker {
+    /// What came of it, once. `tag` is the asker's own; `remaining` is infinite where nothing holds it.
+    fn verdict(&self, tag: u64, granted: bool, remaining: f64, reset: f64);
+}
+
+/// The agents that are linked, as far as requests need them.
+pub trait Agents {
+    /// A request of this customer came, with its set of gatekeepers.
+    fn seen(&self, customer: &Name, first: u32, spread: u32);
+    /// Whether one is here that asks an outside service.
+    fn linked(&self) -> bool;
+    /// Has it asked. False if it can't be.
+    fn ask_outside(&self, call: u64, request: &Request, within: f64) -> bool;
+    /// The breaker has changed.
+    fn breaker(&self, state: Breaker, counts: Counts);
+}
+
+/// What answers and ends of connections to workers call back.
+struct Heard(Weak<RefCell<Gateway>>);
+
+impl Ear for Heard {
+    fn answered(&self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
+        if let Some(gateway) = self.0.upgrade() {
+            gateway.borrow_mut().answered(conn, reply, bytes, clean);
+        }
+    }
+
+    fn closed(&self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
+        if let Some(gateway) = self.0.upgrade() {
+            gateway.borrow_mut().worker_closed(conn, spoilt);
+        }
+    }
+}
+
 /// A client's time runs from when it sent: the answer's way back, and ours through a busy core, need some.
 const MARGIN_MS: f64 = 6.0;
 /// A request without an answer this long after the module's own limit is failed: no client goes without.
@@ -63,7 +105,9 @@
 struct InHand {
     ask: Ask,
     /// Who is owed the answer; none once it is given or the client has left.
-    client: Option<Rc<Client>>,
+    client: Option<Rc<dyn Caller>>,
+    /// The module has not heard of it yet: an outside service is asked first.
+    pending: Option<Request>,
     attempts: u32,
     attempt: Option<Attempt>,
 }
@@ -83,6 +127,7 @@
     Timer(u64),
     Attempt(u64, u32),
     Answer(u64),
+    Consult(u64),
     Sweep,
 }
 
@@ -99,6 +144,11 @@
     /// The clients' ids of the requests in hand.
     open: HashSet<u64>,
     workers: Workers,
+    ear: Rc<dyn Ear>,
+    /// Checks that wait for their verdict, with their askers' tags.
+    checks: HashMap<u64, (u64, Rc<dyn Asker>)>,
+    agents: Option<Rc<dyn Agents>>,
+    outside: Option<Consult>,
     peers: Option<Peers>,
     events: VecDeque<Event>,
     pumping: bool,
@@ -131,6 +181,10 @@
                 held_most: memory,
                 open: HashSet::new(),
                 workers: Workers::new(connections, memory),
+                ear: Rc::new(Heard(me.clone())),
+                checks: HashMap::new(),
+                agents: None,
+                outside: None,
                 peers,
                 events: VecDeque::new(),
                 pumping: false,
@@ -164,7 +218,7 @@
         let number = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).unwrap_or(names.len()).try_into().unwrap_or(u32::MAX)
         };
-        let server = |t: &crate::discovery::Target| Server {
+        let server = |t: &Target| Server {
             name: t.uid.as_str().into(),
             zone: number(&self.conf.areas, &t.zone),
             cell: t.cell,
@@ -226,7 +280,7 @@
     }
 
     /// A request came in whole.
-    pub fn request(&mut self, id: u64, ask: Ask, client: Rc<Client>) {
+    pub fn request(&mut self, id: u64, ask: Ask, client: Rc<dyn Caller>) {
         let give_up = self.now() + ask.wait - MARGIN_MS;
         let request = Request {
             id,
@@ -241,17 +295,145 @@
         };
         self.held += ask.command.len();
         self.open.insert(ask.wire);
-        self.requests.insert(id, InHand { ask, client: Some(client), attempts: 0, attempt: None });
+        if let Some(agents) = &self.agents {
+            agents.seen(&ask.customer, ask.first, ask.spread);
+        }
+        let (client, pending) = (Some(client), None);
+        self.requests.insert(id, InHand { ask, client, pending, attempts: 0, attempt: None });
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
+        if self.outside.as_ref().is_some_and(|o| o.wants(request.plan)) {
+            return self.consult(request);
+        }
         self.event(Event::Request(request));
     }
 
+    // ---- an outside service, asked before the module ----
+
+    /// Sets how an outside service is consulted, or that none is. Requests that wait for one go by the mode.
+    pub fn set_outside(&mut self, outside: Option<Consult>) {
+        self.unlinked();
+        self.outside = outside;
+    }
+
+    /// The agents' side of the link.
+    pub fn set_agents(&mut self, agents: Rc<dyn Agents>) {
+        self.agents = Some(agents);
+    }
+
+    fn consult(&mut self, request: Request) {
+        let (now, id) = (self.now(), request.id);
+        let (Some(outside), Some(agents)) = (&mut self.outside, self.agents.clone()) else { return };
+        let aim = self.settings.classes[request.class].aim;
+        let times = (aim, request.give_up - now);
+        let before = outside.breaker();
+        let step =
+            outside.ask(now, id, &request.customer, request.plan, request.units, times, agents.linked());
+        let Step::Ask { call, within } = step else {
+            self.told_breaker(before);
+            if let Some(r) = self.requests.get_mut(&id) {
+                r.pending = Some(request);
+            }
+            return self.consulted(id, step);
+        };
+        let asked = agents.ask_outside(call, &request, within);
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.pending = Some(request);
+        }
+        self.told_breaker(before);
+        if asked {
+            self.at(now + within, Due::Consult(call));
+        } else {
+            self.outside_verdict(call, Verdict::Failed);
+        }
+    }
+
+    /// What the outside service said to a call; late ones are void.
+    pub fn outside_verdict(&mut self, call: u64, verdict: Verdict) {
+        let now = self.now();
+        let Some(outside) = &mut self.outside else { return };
+        let before = outside.breaker();
+        let step = outside.verdict(now, call, verdict);
+        self.told_breaker(before);
+        if let Some((id, step)) = step {
+            self.consulted(id, step);
+        }
+    }
+
+    /// Nobody is left who would carry the outside service's answers.
+    pub fn unlinked(&mut self) {
+        let Some(outside) = &mut self.outside else { return };
+        for (id, step) in outside.unlinked() {
+            self.consulted(id, step);
+        }
+    }
+
+    /// A request goes on to the module or is refused, unless its client has left meanwhile.
+    fn consulted(&mut self, id: u64, step: Step) {
+        let Some(request) = self.requests.get_mut(&id).and_then(|r| r.pending.take()) else { return };
+        match step {
+            Step::Pass | Step::Ask { .. } => self.event(Event::Request(request)),
+            Step::Deny { pause } => self.refuse(id, pause),
+        }
+    }
+
+    fn told_breaker(&self, before: Breaker) {
+        let (Some(outside), Some(agents)) = (&self.outside, &self.agents) else { return };
+        let (now, counts) = (outside.breaker(), outside.counts());
+        if now != before {
+            agents.breaker(now, counts);
+            let word = match now {
+                Breaker::Closed => "answers again: requests of its plans ask it as before",
+                Breaker::Open => {
+                    "fails: requests of its plans go by their failure mode until it is tried again"
+                }
+                Breaker::HalfOpen => "is tried again by one request at a time",
+            };
+            eprintln!(
+                "frostvale: the outside rate limit service {word} ({} calls failed so far)",
+                counts.failed
+            );
+        }
+    }
+
+    /// The breaker's state and counts, where an outside service is consulted.
+    pub fn outside_state(&self) -> Option<(Breaker, Counts)> {
+        self.outside.as_ref().map(|o| (o.breaker(), o.counts()))
+    }
+
+    // ---- checks ----
+
+    /// Somebody asks for units. `request` is as the asker wrote it; its id and limit are set here.
+    pub fn check(&mut self, request: Request, within: f64, tag: u64, asker: Rc<dyn Asker>) -> u64 {
+        let id = self.next_id();
+        let give_up = self.now() + within;
+        self.checks.insert(id, (tag, asker));
+        self.event(Event::Check(Request { id, give_up, ..request }));
+        id
+    }
+
+    /// Nobody waits for these checks any more. What they were granted stays charged.
+    pub fn leave(&mut self, checks: impl IntoIterator<Item = u64>) {
+        for id in checks {
+            if self.checks.remove(&id).is_some() {
+                self.event(Event::Left { id });
+            }
+        }
+    }
+
+    /// What a granted check took was not used.
+    pub fn unused(&mut self, request: Request) {
+        self.event(Event::Unused(request));
+    }
+
     /// A client went away with this request open. Nothing more goes out for it.
     pub fn left(&mut self, id: u64) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         if r.client.take().is_none() {
             return;
         }
+        if r.pending.take().is_some() {
+            return self.tidy(id);
+        }
         let unsent = r.attempt.as_ref().is_some_and(|a| a.conn.is_none());
         self.event(Event::Left { id });
         if unsent {
@@ -261,7 +443,7 @@
     }
 
     /// A worker answered on a connection. `clean`: with nothing behind it.
-    pub fn answered(&mut self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
+    fn answered(&mut self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
         let Some(id) = conn.busy.take() else { return };
         let line = match &reply {
             Reply::Served { .. } => None,
@@ -290,7 +472,7 @@
     }
 
     /// A connection to a worker has ended, perhaps over bytes that are no answer.
-    pub fn worker_closed(&mut self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
+    fn worker_closed(&mut self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
         self.workers.forget(conn);
         if let Some(what) = spoilt {
             // A line for each would be a flood of its own.
@@ -323,14 +505,11 @@
     fn act(&mut self, action: Action, now: f64) {
         match action {
             Action::Send { id, server, not_past } => self.send(id, server, not_past, now),
-            Action::Refuse { id, pause } => {
-                let mut line = b"-BUSY".to_vec();
-                if pause >= 1.0 {
-                    line.push(b' ');
-                    resp::put_digits(&mut line, pause as u64);
+            Action::Refuse { id, pause } => self.refuse(id, pause),
+            Action::Verdict { id, granted, remaining, reset } => {
+                if let Some((tag, asker)) = self.checks.remove(&id) {
+                    asker.verdict(tag, granted, remaining, reset);
                 }
-                line.extend_from_slice(b"\r\n");
-                self.answer(id, &line);
             }
             Action::Fail { id } => self.answer(id, b"-ERR failed\r\n"),
             Action::Cancel { id, attempt } => {
@@ -351,6 +530,17 @@
         }
     }
 
+    /// The final answer that trying again is harmless, and when to, in ms.
+    fn refuse(&mut self, id: u64, pause: f64) {
+        let mut line = b"-BUSY".to_vec();
+        if pause >= 1.0 {
+            line.push(b' ');
+            resp::put_digits(&mut line, pause as u64);
+        }
+        line.extend_from_slice(b"\r\n");
+        self.answer(id, &line);
+    }
+
     /// Gives a final answer that no worker made.
     fn answer(&mut self, id: u64, line: &[u8]) {
         if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
@@ -416,8 +606,8 @@
         let waits = attempt.is_some_and(|a| a.number == number && a.conn.is_none());
         let reading = self.workers.reading();
         let conn = stream.map(|stream| Conn::new(stream, server, life, place, reading));
-        if let (Some(conn), Some(gateway)) = (&conn, self.me.upgrade()) {
-            conn.listen(gateway);
+        if let Some(conn) = &conn {
+            conn.listen(self.ear.clone());
         }
         match conn {
             // The worker may have begun to drain, or have restarted, while this took its time: `begin` looks.
@@ -547,6 +737,7 @@
                 out.is_some_and(|a| a.number == *number)
             }
             Due::Answer(id) => self.requests.get(id).is_some_and(|r| r.client.is_some()),
+            Due::Consult(call) => self.outside.as_ref().is_some_and(|o| o.waits(*call)),
         }
     }
 
@@ -575,12 +766,16 @@
                 Due::Attempt(id, _) => self.give_up(id, Ending::Timeout),
                 Due::Answer(id) => {
                     eprintln!("frostvale: a request was not settled in time");
-                    if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
-                        client.answer(id, b"-ERR failed\r\n");
+                    if let Some(r) = self.requests.get_mut(&id) {
+                        r.pending = None;
+                        if let Some(client) = r.client.take() {
+                            client.answer(id, b"-ERR failed\r\n");
+                        }
                     }
                     self.event(Event::Left { id });
                     self.tidy(id);
                 }
+                Due::Consult(call) => self.outside_verdict(call, Verdict::Failed),
                 Due::Sweep => self.sweep(),
             }
         }
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -1,18 +1,25 @@
 //! A gatekeeper on real sockets: clients in front, workers behind, the decisions in the library.
 //! Start, signals and shutdown.
 
+mod ask;
 mod budget;
 mod clients;
 mod config;
 mod discovery;
+mod extra;
 mod gateway;
+mod link;
+mod listing;
 mod peers;
 mod resp;
 mod workers;
 
 use clients::Clients;
 use config::Config;
+use extra::Extra;
+use frostvale_outside::Consult;
 use gateway::Gateway;
+use link::Links;
 use peers::Peers;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -33,7 +40,32 @@
 const CLIENT_PART: usize = 33;
 const WORKER_PART: usize = 45;
 
+/// Both files, as they are to be used.
+fn told(again: bool) -> Result<(Config, Extra), String> {
+    let config = if again { Config::read_again()? } else { Config::read()? };
+    let extra = Extra::read(&config.conf)?;
+    Ok((config, extra))
+}
+
 fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => {}
+        ["--check"] => match told(false) {
+            Ok((config, _)) => {
+                println!("frostvale: the configuration of {} is sound", config.name);
+                return ExitCode::SUCCESS;
+            }
+            Err(what) => {
+                eprintln!("frostvale: {what}");
+                return ExitCode::FAILURE;
+            }
+        },
+        _ => {
+            eprintln!("frostvale: usage: frostvale [--check], with GW_CONFIG and perhaps GW_EXTRA set");
+            return ExitCode::FAILURE;
+        }
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"));
     match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
@@ -50,7 +82,7 @@
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
-    let mut config = Config::read()?;
+    let (mut config, extra) = told(false)?;
     let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
@@ -62,11 +94,24 @@
         }
         None => None,
     };
+    let door = extra.link.as_ref().map(|link| frostvale_link::node::open(&link.socket)).transpose()?;
+    let seed = config.seed;
     let known = config.known.take();
     let (moved, discovery) = watch::channel(config.discovery);
     let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
+    let consult = move |extra: &Extra| {
+        let settings = extra.outside.clone();
+        settings.map(|s| Consult::new(s, seed)).transpose().map_err(|e| format!("outside.{e}"))
+    };
+    gateway.borrow_mut().set_outside(consult(&extra)?);
+    let agents = extra.link.map_or(0, |link| link.agents);
+    let links = door.map(|door| {
+        let links = Links::new(gateway.clone(), name.clone());
+        spawn_local(frostvale_link::node::serve(door, links.clone(), agents));
+        links
+    });
     let rev = known.as_ref().map(|list| list.rev);
     if let Some(list) = known {
         gateway.borrow_mut().listed(list);
@@ -74,18 +119,27 @@
     let news = Rc::new(Notify::new());
     gateway.borrow_mut().news = news.clone();
     if let Some(peers) = peers {
-        spawn_local(peers.listen(gateway.clone(), me));
+        let heard = gateway.clone();
+        spawn_local(peers.listen(me, move |from, text| heard.borrow_mut().note(from, text)));
     }
     spawn_local(Gateway::keep_time(gateway.clone()));
     spawn_local(clients.clone().keep_time());
     spawn_local(discovery::follow(gateway.clone(), discovery, rev));
+    let reloaded = gateway.clone();
+    let mut outside = extra.outside;
     spawn_local(async move {
         while hup.recv().await.is_some() {
-            match Config::read_again() {
+            let fresh = told(true).and_then(|(config, extra)| Ok((config, consult(&extra)?, extra)));
+            match fresh {
                 // Sent also where it is the same: the whole list is asked for once more.
-                Ok(config) => {
+                Ok((config, fresh, extra)) => {
                     eprintln!("frostvale: configuration read again; discovery at {}", config.discovery);
                     let _ = moved.send(config.discovery);
+                    // The breaker's state is kept where nothing has changed.
+                    if extra.outside != outside {
+                        outside = extra.outside;
+                        reloaded.borrow_mut().set_outside(fresh);
+                    }
                 }
                 Err(what) => eprintln!("frostvale: the configuration in use stays: {what}"),
             }
@@ -101,6 +155,9 @@
         _ = int.recv() => {}
     }
     eprintln!("frostvale: {name} stops");
+    if let Some(links) = &links {
+        links.stop();
+    }
     let _ = timeout(FAREWELL, clients.clone().accept(&listener, gateway.clone())).await;
     drop(listener);
     clients.close_soon();
--- a/src/bin/frostvale/peers.rs
+++ b/src/bin/frostvale/peers.rs
@@ -1,6 +1,5 @@
 //! Notes between gatekeepers: one UDP socket, datagrams of at most 256 bytes.
 
-use crate::gateway::Shared;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -30,7 +29,7 @@
     }
 
     /// The task that takes notes in.
-    pub async fn listen(self, gateway: Shared, me: u32) {
+    pub async fn listen(self, me: u32, heard: impl Fn(u32, &str)) {
         let mut bytes = [0u8; NOTE_MOST + 1];
         loop {
             // An error is an earlier note that could not be delivered, or lasting: then this must not spin.
@@ -42,7 +41,7 @@
             let known = self.addresses.iter().position(|a| *a == from).and_then(|k| u32::try_from(k).ok());
             let Some(from) = known.filter(|k| *k != me && len <= NOTE_MOST) else { continue };
             let Ok(text) = std::str::from_utf8(&bytes[..len]) else { continue };
-            gateway.borrow_mut().note(from, text);
+            heard(from, text);
         }
     }
 }
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -2,9 +2,8 @@
 //! A connection carries one attempt at a time, so that giving up one can close it.
 
 use crate::budget::{Budget, Share};
-use crate::discovery::{Listed, Target};
-use crate::gateway::Shared;
-use crate::resp::{self, VALUE_MOST};
+use crate::listing::{Listed, Target};
+use crate::resp::{self, Reply, VALUE_MOST};
 use frostvale::{Health, Name, Report};
 use socket2::SockRef;
 use std::cell::{Cell, OnceCell};
@@ -21,6 +20,14 @@
 /// Room that a connection keeps between answers.
 const KEPT: usize = 8 * 1024;
 
+/// Who hears what comes on the connections.
+pub trait Ear {
+    /// A worker answered. `clean`: with nothing behind it.
+    fn answered(&self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool);
+    /// A connection has ended, perhaps over bytes that are no answer.
+    fn closed(&self, conn: &Rc<Conn>, spoilt: Option<&'static str>);
+}
+
 /// A connection to a worker.
 pub struct Conn {
     pub stream: TcpStream,
@@ -79,17 +86,17 @@
     }
 
     /// Reads answers until the connection ends.
-    pub fn listen(self: &Rc<Conn>, gateway: Shared) {
+    pub fn listen(self: &Rc<Conn>, ear: Rc<dyn Ear>) {
         let conn = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let ended = conn.read(&gateway).await;
-            gateway.borrow_mut().worker_closed(&conn, ended);
+            let ended = conn.read(&*ear).await;
+            ear.closed(&conn, ended);
         });
         let _ = self.task.set(task.abort_handle());
     }
 
     /// Gives what was wrong with the bytes, if that is why it ended.
-    async fn read(self: &Rc<Conn>, gateway: &Shared) -> Option<&'static str> {
+    async fn read(self: &Rc<Conn>, ear: &dyn Ear) -> Option<&'static str> {
         let mut bytes: Vec<u8> = Vec::new();
         loop {
             self.stream.readable().await.ok()?;
@@ -110,7 +117,7 @@
                 Ok(Some((reply, len))) => {
                     // What follows belongs to no request: the next one must not be given it.
                     let clean = len == bytes.len();
-                    gateway.borrow_mut().answered(self, reply, &bytes, clean);
+                    ear.answered(self, reply, &bytes, clean);
                     if !clean {
                         return None;
                     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -169,7 +169,9 @@
         self.now = self.now.max(now);
         match event {
             Event::Servers { listing, servers } => self.on_servers(listing, servers),
-            Event::Request(request) => self.on_request(request),
+            Event::Request(request) => self.on_request(request, false),
+            Event::Check(request) => self.on_request(request, true),
+            Event::Unused(request) => self.on_unused(&request),
             Event::Outcome(outcome) => self.on_outcome(&outcome),
             Event::Left { id } => self.on_left(id),
             Event::Note { from, text } => self.on_note(from, &text),
@@ -209,16 +211,17 @@
 
     // ---- a request: bucket, ceiling, throttle, server ----
 
-    fn on_request(&mut self, request: Request) {
+    fn on_request(&mut self, request: Request, check: bool) {
         let (now, me, all) = (self.now, self.cfg.me, self.cfg.gateways);
         let tier = self.tier_of.get(request.class).and_then(|row| row.get(request.plan)).copied();
-        let Some(tier) = tier else { return self.refuse(&request) };
-        self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
+        let Some(tier) = tier else { return self.refuse(&request, check) };
+        if !check {
+            self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
+        }
         let key = key_of(&request.customer);
         let plan = self.cfg.plans[request.plan].clone();
         let spread = if request.spread == 0 { all } else { request.spread.min(all) };
-        let which = key + u64::from(me % self.keepers(request.plan));
-        let keeper = (request.first + (which % u64::from(spread)) as u32) % all;
+        let keeper = self.keeper(key, &request);
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
         let c = self.customer(key, name);
@@ -228,30 +231,32 @@
             .min((plan.ceiling_burst + plan.ceiling_slack) / n);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
         if plan.ceiling_rate > 0.0 && c.ceiling < units {
-            return self.refuse(&request);
+            return self.refuse(&request, check);
         }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted, _) = c.told.unwrap_or((f64::NEG_INFINITY, 0.0, 0.0, 0.0));
         let demand = demand * (-(now - at) / FADE_MS).exp();
         // What quota and places let through is asked for in any case: else grants would sink further.
-        let shared = plan.open > 0 && plan.open < spread;
-        c.slots = if plan.open > 0 && !shared { plan.open / spread } else { u32::MAX };
+        let limited = plan.open > 0 && plan.open < spread;
+        // A check has nothing out, so it needs no place.
+        let shared = limited && !check;
+        c.slots = if plan.open > 0 && !limited { plan.open / spread } else { u32::MAX };
         let places = if shared { f64::from(plan.open) * units * 1000.0 / took } else { f64::INFINITY };
         let holds = places.min(if plan.rate > 0.0 { plan.rate } else { f64::INFINITY });
         let chance = 1.0 - ((demand - ASK_MORE * granted.max(holds)) / (demand + units)).max(0.0);
         let weight = units / chance;
         c.own = c.own * (-(now - c.own_at) / DEMAND_MS).exp() + units * 1000.0 / DEMAND_MS;
         c.own_at = now;
-        let ample = !shared && c.stock >= units;
+        let ample = !limited && c.stock >= units;
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
         if keeper != me && !ample && c.credit < 1.0 {
-            return self.refuse(&request);
+            return self.refuse(&request, check);
         }
         c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
         c.untold += weight;
         let mut extra = c.own * STOCK_MS / 1000.0 - c.stock;
-        if shared || keeper == me || extra < units || now - c.asked_at < STOCK_MS / 4.0 {
+        if limited || keeper == me || extra < units || now - c.asked_at < STOCK_MS / 4.0 {
             extra = 0.0;
         }
         // A repeat may have little of its client's time left: never wait past half of it.
@@ -261,12 +266,12 @@
         let ask = Ask { from: me, number, units, extra: 0.0, shared, until: now + most };
         let place = Some(number);
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let mut job =
-            Job { request, key, keeper, tier, arrived: now, number, place, until: ask.until, queued: true };
+        let (until, queued) = (ask.until, true);
+        let mut job = Job { request, check, key, keeper, tier, arrived: now, number, place, until, queued };
         if keeper == me {
             return match self.asked(key, name, ask, units).0 {
                 Word::Grant => self.admit(job),
-                Word::Deny => self.refuse(&job.request),
+                Word::Deny => self.refuse(&job.request, check),
                 Word::Wait => self.wait(job),
             };
         }
@@ -286,21 +291,88 @@
         self.wait(job);
     }
 
+    /// One gateway of a customer's set, found from its key, keeps its store.
+    fn keeper(&self, key: u64, request: &Request) -> u32 {
+        let all = self.cfg.gateways;
+        let spread = if request.spread == 0 { all } else { request.spread.min(all) };
+        let which = key + u64::from(self.cfg.me % self.keepers(request.plan));
+        (request.first + (which % u64::from(spread)) as u32) % all
+    }
+
     /// Refuses. Where store or ceiling, as far as they are known here, won't hold the units before the
     /// aim, it says when they will; for less a client's own wait serves better than ours.
-    fn refuse(&mut self, request: &Request) {
+    fn refuse(&mut self, request: &Request, check: bool) {
+        if check {
+            return self.verdict(request, false);
+        }
         let aim = self.cfg.classes.get(request.class).map_or(0.0, |c| c.aim);
-        let pause = self.customers.get(&key_of(&request.customer)).map(|c| {
+        let pause = self.customers.get(&key_of(&request.customer)).map(|c| self.room_in(c, request));
+        let pause = pause.filter(|ms| *ms > aim).map_or(0.0, f64::ceil);
+        self.actions.push(Action::Refuse { id: request.id, pause });
+    }
+
+    /// How long until store and ceiling, as far as they are known here, hold a request's units.
+    fn room_in(&self, c: &Customer, request: &Request) -> f64 {
+        let plan = &self.cfg.plans[c.plan];
+        let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
+        let until = |at: f64, level: f64, rate: f64| {
+            if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
+        };
+        let ceiling = plan.ceiling_rate / f64::from(request.spread.max(1));
+        until(at, level, plan.rate).max(until(c.slice_at, c.ceiling, ceiling))
+    }
+
+    // ---- a check: the same store and ceiling, and nothing is sent ----
+
+    /// A check with room in its quota takes its units from the ceiling's slice too.
+    fn decide(&mut self, job: &Job) {
+        let units = job.request.units;
+        let held = self.cfg.plans[job.request.plan].ceiling_rate > 0.0;
+        match self.customers.get_mut(&job.key) {
+            Some(c) if !held || c.ceiling >= units => {
+                c.ceiling -= units;
+                self.verdict(&job.request, true);
+            }
+            _ => {
+                if job.place.is_some() || job.queued {
+                    self.spare(job.key, job.keeper, units, None);
+                }
+                self.verdict(&job.request, false);
+            }
+        }
+    }
+
+    /// Says what came of a check, what is left as far as it is known here, and when to come back: once the
+    /// units fit, or after a grant, when the store is full again.
+    fn verdict(&mut self, request: &Request, granted: bool) {
+        let known = self.customers.get(&key_of(&request.customer));
+        let (remaining, reset) = known.map_or((0.0, 0.0), |c| {
             let plan = &self.cfg.plans[c.plan];
             let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
-            let until = |at: f64, level: f64, rate: f64| {
-                if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
-            };
-            let ceiling = plan.ceiling_rate / f64::from(request.spread.max(1));
-            until(at, level, plan.rate).max(until(c.slice_at, c.ceiling, ceiling))
+            let level = (level + plan.rate * (self.now - at) / 1000.0).min(plan.burst);
+            let store = if plan.rate > 0.0 { level } else { f64::INFINITY };
+            let ceiling = if plan.ceiling_rate > 0.0 { c.ceiling } else { f64::INFINITY };
+            let fill = |units: f64| if plan.rate > 0.0 { 1000.0 * units / plan.rate } else { 0.0 };
+            let pause = if granted { fill(plan.burst - level) } else { self.room_in(c, request) };
+            // Others ask for what seems to be left: then the time that the units take to fill will do.
+            let pause = if granted || pause > 0.0 { pause } else { fill(request.units) };
+            (store.min(ceiling).max(0.0), pause.max(0.0).ceil())
         });
-        let pause = pause.filter(|ms| *ms > aim).map_or(0.0, f64::ceil);
-        self.actions.push(Action::Refuse { id: request.id, pause });
+        self.actions.push(Action::Verdict { id: request.id, granted, remaining, reset });
+    }
+
+    /// Units of a granted check that were not used after all.
+    fn on_unused(&mut self, request: &Request) {
+        let key = key_of(&request.customer);
+        if self.tier_of[0].len() <= request.plan || !self.customers.contains_key(&key) {
+            return;
+        }
+        let keeper = self.keeper(key, request);
+        if let Some(c) = self.customers.get_mut(&key) {
+            let (plan, n) = (&self.cfg.plans[c.plan], f64::from(request.spread.max(1)));
+            c.ceiling = (c.ceiling + request.units).min((plan.ceiling_burst + plan.ceiling_slack) / n);
+        }
+        self.tell(key, keeper, request.plan, -request.units, None);
     }
 
     fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
@@ -335,6 +407,7 @@
         }
         let Some(w) = self.waits.remove(&number) else { return };
         let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
+        let open = if w.check { 0.0 } else { open };
         let lot = self.rng.random::<f64>();
         let passes = !w.queued
             && self.customers.get_mut(&w.key).is_some_and(|c| {
@@ -343,16 +416,23 @@
                 units && (open <= 0.0 || f64::from(c.open) < open.max(1.0))
             });
         if passes {
+            if w.check {
+                // Its keeper may never have heard of it; a grant that still comes is given back.
+                self.tell(w.key, w.keeper, w.request.plan, w.request.units, None);
+            }
             return self.admit(w);
         }
         if w.queued && self.customers.get(&w.key).is_some_and(|c| c.slots < u32::MAX) {
             self.spare(w.key, w.keeper, w.request.units, w.place);
         }
-        self.refuse(&w.request);
+        self.refuse(&w.request, w.check);
     }
 
     /// A request with room in its quota: a place of this gateway's own, the throttle, then a server.
     fn admit(&mut self, mut job: Job) {
+        if job.check {
+            return self.decide(&job);
+        }
         if self.customers.get(&job.key).is_some_and(|c| c.open >= c.slots) {
             job.until = job.arrived + WAIT * self.cfg.classes[job.request.class].aim;
             job.until = job.until.min((job.arrived + job.request.give_up) / 2.0);
@@ -363,7 +443,7 @@
                 return self.wait(job);
             }
             self.spare(job.key, job.keeper, job.request.units, job.place);
-            return self.refuse(&job.request);
+            return self.refuse(&job.request, false);
         }
         let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
         // Asked again here: others of its customer may have been sent on while it waited.
@@ -380,7 +460,7 @@
             if job.place.is_some() || job.queued {
                 self.spare(job.key, job.keeper, units, job.place);
             }
-            return self.refuse(&job.request);
+            return self.refuse(&job.request, false);
         };
         if let Some(c) = self.customers.get_mut(&job.key) {
             c.ceiling -= units;
@@ -494,7 +574,7 @@
                 self.spare(key, keeper, units - w.request.units, None);
                 self.admit(Job { place: Some(number), ..w });
             }
-            (Some(w), Word::Deny) => self.refuse(&w.request),
+            (Some(w), Word::Deny) => self.refuse(&w.request, w.check),
             (Some(mut w), Word::Wait) => {
                 let most = WAIT * self.cfg.classes[w.request.class].aim;
                 w.until = w.arrived + most.min((w.request.give_up - w.arrived) / 2.0);
@@ -789,7 +869,7 @@
         self.count(tier, o.ending == Ending::Error && in_time);
         let effect = self.cfg.classes[class].effect;
         if h.may_run.is_none() || matches!(effect, Effect::Safe | Effect::Keyed(Group::All)) {
-            self.refuse(&h.job.request);
+            self.refuse(&h.job.request, false);
         } else {
             self.actions.push(Action::Fail { id: o.id });
         }
@@ -804,7 +884,7 @@
         let own = self.customers.get(&h.job.key).is_some_and(|c| c.slots < u32::MAX);
         if own || h.job.place.is_some() && self.cfg.plans[h.job.request.plan].open > 0 {
             // Its next one here takes the place at once: each way to the keeper leaves it empty.
-            let next = self.waits.values().find(|w| w.key == h.job.key && (w.queued || !own));
+            let next = self.waits.values().find(|w| w.key == h.job.key && !w.check && (w.queued || !own));
             match next.map(|w| w.number).and_then(|k| self.waits.remove(&k)) {
                 Some(w) if own => self.admit(w),
                 Some(w) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,8 @@
 /// A request on its way: it waits for its keeper's word, or once `queued` for a place, or is out.
 pub(crate) struct Job {
     pub request: Request,
+    /// Asked by a check: nothing is sent for it.
+    pub check: bool,
     pub key: u64,
     pub keeper: u32,
     pub tier: usize,
