--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,11 @@
-//! .
+//! The agent of a host: it stands beside the host's gatekeepers and speaks gRPC for them.
+//!
+//! It decides nothing that a gatekeeper or a sans-I/O crate decides: `frostvale-checks` reads calls, finds the
+//! gatekeepers that may decide and puts the answer together; the gatekeepers' module holds the quotas. It may die at
+//! any instant without a RESP2 request noticing.
+
+pub mod config;
+pub mod fleet;
+pub mod outside;
+pub mod rls;
+pub mod serve;
--- /dev/null
+++ b/crates/agent/src/serve.rs
@@ -0,0 +1,192 @@
+//! Listeners: the rate limit service with gRPC health and reflection, and the control socket.
+
+use crate::config::{Config, Tls};
+use crate::fleet::Fleet;
+use crate::outside::Outside;
+use crate::rls::{Counts, Service};
+use frostvale_proto::agent::agent_server::{Agent, AgentServer};
+use frostvale_proto::agent::{Outside as OutsideStatus, StatusRequest, StatusResponse};
+use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_service_server::RateLimitServiceServer;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::sync::watch;
+use tokio_stream::wrappers::UnixListenerStream;
+use tonic::transport::server::TcpIncoming;
+use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
+use tonic::{Request, Response, Status};
+
+/// The longest call that is read, in bytes: more than the most descriptors of the most entries fill.
+const CALL_MOST: usize = 512 * 1024;
+/// Calls in hand on one connection.
+const STREAMS: u32 = 1024;
+/// A connection over which nothing comes is tested this often, and closed after as long again.
+const ALIVE: Duration = Duration::from_secs(20);
+
+/// Runs until `stop` says so.
+///
+/// # Errors
+/// With one line on what can't be used.
+pub async fn run(
+    config: Config,
+    mut stop: watch::Receiver<bool>,
+    ready: impl FnOnce(Option<SocketAddr>),
+) -> Result<(), String> {
+    let outside = config.outside.as_ref().map(Outside::new).transpose()?;
+    let rls = config.rls.clone();
+    let listener = match &rls {
+        Some(rls) => {
+            let at = rls.listen;
+            let listener = TcpListener::bind(at).await;
+            Some(listener.map_err(|e| format!("rls.listen: cannot listen at {at}: {e}"))?)
+        }
+        None => None,
+    };
+    let tls = rls.as_ref().and_then(|rls| rls.tls.as_ref()).map(server_tls).transpose()?;
+    let control = config.control.as_ref().map(|c| private_socket(&c.socket)).transpose()?;
+    let fleet = Fleet::start(&config, outside.clone());
+    let service = Service::new(fleet.clone(), rls.clone().unwrap_or_default());
+    if let Some(listener) = control {
+        let status = Operators { name: config.name.clone(), fleet: fleet.clone(), counts: service.counts(), outside };
+        let mut stop = stop.clone();
+        tokio::spawn(async move {
+            let served = Server::builder()
+                .add_service(AgentServer::new(status))
+                .serve_with_incoming_shutdown(UnixListenerStream::new(listener), async move {
+                    let _ = stop.wait_for(|stop| *stop).await;
+                });
+            if let Err(e) = served.await {
+                eprintln!("frostagent: the control socket has failed: {e}; checks go on");
+            }
+        });
+    }
+    let at = listener.as_ref().and_then(|l| l.local_addr().ok());
+    ready(at);
+    match (listener, rls) {
+        (Some(listener), Some(_)) => serve_rls(listener, tls, service, fleet, stop).await,
+        _ => {
+            let _ = stop.wait_for(|stop| *stop).await;
+            Ok(())
+        }
+    }
+}
+
+async fn serve_rls(
+    listener: TcpListener,
+    tls: Option<ServerTlsConfig>,
+    service: Service,
+    fleet: Arc<Fleet>,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), String> {
+    let (reporter, health) = tonic_health::server::health_reporter();
+    // Healthy is who can have checks decided: balancers take their calls elsewhere else.
+    let mut up = fleet.up();
+    tokio::spawn(async move {
+        loop {
+            if *up.borrow_and_update() > 0 {
+                reporter.set_serving::<RateLimitServiceServer<Service>>().await;
+            } else {
+                reporter.set_not_serving::<RateLimitServiceServer<Service>>().await;
+            }
+            if up.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+    let reflection = tonic_reflection::server::Builder::configure()
+        .register_encoded_file_descriptor_set(frostvale_proto::RLS_DESCRIPTORS)
+        .register_encoded_file_descriptor_set(tonic_health::pb::FILE_DESCRIPTOR_SET)
+        .build_v1()
+        .map_err(|e| format!("reflection: {e}"))?;
+    let mut server = Server::builder();
+    if let Some(tls) = tls {
+        server = server.tls_config(tls).map_err(|e| format!("rls.tls: {e}"))?;
+    }
+    server
+        .max_concurrent_streams(STREAMS)
+        .http2_keepalive_interval(Some(ALIVE))
+        .http2_keepalive_timeout(Some(ALIVE))
+        .add_service(RateLimitServiceServer::new(service).max_decoding_message_size(CALL_MOST))
+        .add_service(health)
+        .add_service(reflection)
+        .serve_with_incoming_shutdown(
+            TcpIncoming::from(listener).with_nodelay(Some(true)),
+            async move {
+                let _ = stop.wait_for(|stop| *stop).await;
+            },
+        )
+        .await
+        .map_err(|e| format!("the rate limit service has failed: {e}"))
+}
+
+fn server_tls(tls: &Tls) -> Result<ServerTlsConfig, String> {
+    let read = |field: &str, path: &Path| {
+        std::fs::read(path).map_err(|e| format!("rls.tls.{field}: cannot read {}: {e}", path.display()))
+    };
+    let identity = Identity::from_pem(read("cert", &tls.cert)?, read("key", &tls.key)?);
+    let ca = Certificate::from_pem(read("client_ca", &tls.client_ca)?);
+    Ok(ServerTlsConfig::new().identity(identity).client_ca_root(ca))
+}
+
+/// A Unix socket that only its owner may connect to. A file that a dead process has left is replaced.
+fn private_socket(path: &Path) -> Result<UnixListener, String> {
+    frostvale_link::socket::listen(path).map_err(|e| format!("control.{e}"))
+}
+
+/// What operators ask.
+struct Operators {
+    name: String,
+    fleet: Arc<Fleet>,
+    counts: Arc<Counts>,
+    outside: Option<Arc<Outside>>,
+}
+
+#[tonic::async_trait]
+impl Agent for Operators {
+    async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusResponse>, Status> {
+        let outside = self.outside.as_ref().map_or_else(OutsideStatus::default, |o| {
+            let get = |count: &std::sync::atomic::AtomicU64| count.load(Ordering::Relaxed);
+            OutsideStatus {
+                configured: true,
+                asked: get(&o.counts.asked),
+                ok: get(&o.counts.ok),
+                over: get(&o.counts.over),
+                failed: get(&o.counts.failed),
+                in_hand: o.in_hand(),
+            }
+        });
+        Ok(Response::new(StatusResponse {
+            name: self.name.clone(),
+            gatekeepers: self.fleet.status(),
+            calls: Some(self.counts.status()),
+            outside: Some(outside),
+            sets: self.fleet.sets(),
+        }))
+    }
+}
+
+/// A client of an agent's control socket.
+///
+/// # Errors
+/// When nobody listens there.
+pub async fn control(
+    socket: &Path,
+) -> Result<frostvale_proto::agent::agent_client::AgentClient<tonic::transport::Channel>, String> {
+    let path = socket.to_path_buf();
+    let connect = tower::service_fn(move |_: tonic::transport::Uri| {
+        let path = path.clone();
+        async move { UnixStream::connect(path).await.map(hyper_util::rt::TokioIo::new) }
+    });
+    let channel = tonic::transport::Endpoint::from_static("http://agent")
+        .connect_timeout(Duration::from_secs(2))
+        .timeout(Duration::from_secs(5))
+        .connect_with_connector(connect)
+        .await
+        .map_err(|e| {
+            format!("no agent answers at {}: {e:?}; is frostagent running, and is this its control.socket?", socket.display())
+        })?;
+    Ok(frostvale_proto::agent::agent_client::AgentClient::new(channel))
+}
--- a/crates/link/src/node.rs
+++ b/crates/link/src/node.rs
@@ -7,12 +7,9 @@
     Check, Decision, FromNode, OutsideAsk, OutsideState, OutsideVerdict, Seen, Settle, ToNode,
 };
 use crate::proto::{Hello, Welcome};
-use socket2::{Domain, SockAddr, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::fs;
-use std::io::{self, ErrorKind};
-use std::os::unix::fs::PermissionsExt;
-use std::os::unix::net::UnixStream as StdStream;
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -141,58 +138,20 @@
     }
 }
 
-/// A listening socket that only its owner may connect to.
+/// The listening socket; its file goes with it.
 #[derive(Debug)]
 pub struct Door {
     listener: UnixListener,
     path: PathBuf,
 }
 
-/// Opens the socket, with mode 0600 before anyone can connect. A file that a dead process has left is replaced; one
-/// at which somebody still listens is not, nor is anything that is no socket.
+/// Opens the socket; see [`socket::listen`](crate::socket::listen).
 ///
 /// # Errors
 /// With what stands in the way.
 pub fn open(path: &Path) -> Result<Door, String> {
-    let said = |what: &str, e: io::Error| format!("link: socket {}: {what}: {e}", path.display());
-    match fs::symlink_metadata(path) {
-        Ok(found) => {
-            use std::os::unix::fs::FileTypeExt;
-            if !found.file_type().is_socket() {
-                return Err(format!(
-                    "link: socket {}: stands there already and is no socket",
-                    path.display()
-                ));
-            }
-            match StdStream::connect(path) {
-                Ok(_) => {
-                    return Err(format!("link: socket {}: another process listens there", path.display()));
-                }
-                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
-                Err(e) => return Err(said("it can't be told whether it is in use", e)),
-            }
-        }
-        Err(e) if e.kind() == ErrorKind::NotFound => {}
-        Err(e) => return Err(said("cannot look at it", e)),
-    }
-    let fresh = path.with_extension(format!("{}.new", std::process::id()));
-    let _ = fs::remove_file(&fresh);
-    let bound = (|| {
-        let socket = Socket::new(Domain::UNIX, Type::STREAM, None)?;
-        socket.bind(&SockAddr::unix(&fresh)?)?;
-        fs::set_permissions(&fresh, fs::Permissions::from_mode(0o600))?;
-        socket.listen(64)?;
-        socket.set_nonblocking(true)?;
-        fs::rename(&fresh, path)?;
-        UnixListener::from_std(std::os::unix::net::UnixListener::from(std::os::fd::OwnedFd::from(socket)))
-    })();
-    match bound {
-        Ok(listener) => Ok(Door { listener, path: path.to_path_buf() }),
-        Err(e) => {
-            let _ = fs::remove_file(&fresh);
-            Err(said("cannot listen", e))
-        }
-    }
+    let listener = crate::socket::listen(path).map_err(|e| format!("link.{e}"))?;
+    Ok(Door { listener, path: path.to_path_buf() })
 }
 
 impl Drop for Door {
--- a/crates/proto/examples/generate.rs
+++ b/crates/proto/examples/generate.rs
@@ -14,6 +14,8 @@
     let proto = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("proto");
     let link = protox::compile(["frostvale/link/v1/link.proto"], [&proto]).expect("sound .proto files");
     tonic_prost_build::configure().out_dir(out).compile_fds(link).expect("generated");
+    let agent = protox::compile(["frostvale/agent/v1/agent.proto"], [&proto]).expect("sound .proto files");
+    tonic_prost_build::configure().out_dir(out).compile_fds(agent).expect("generated");
     let rls =
         protox::compile(["envoy/service/ratelimit/v3/rls.proto"], [&proto]).expect("sound .proto files");
     std::fs::write(out.join("rls.bin"), rls.encode_to_vec()).expect("written");
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages of frostvale, generated from `proto/` (see `examples/generate.rs`; a test holds both to agree):
 //!
 //! - [`link`]: the socket between a gatekeeper and its host's agent;
+//! - `agent` (with the feature `rls`): what operators ask of an agent;
 //! - `envoy` (with the feature `rls`): Envoy's rate limit service, as its public API defines it
 //!   (`envoy/service/ratelimit/v3/rls.proto`), trimmed to what is used.
 
@@ -10,6 +11,13 @@
     include!("gen/frostvale.link.v1.rs");
 }
 
+/// What operators ask of an agent.
+#[cfg(feature = "rls")]
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod agent {
+    include!("gen/frostvale.agent.v1.rs");
+}
+
 /// Envoy's public API, as far as the rate limit service uses it.
 #[cfg(feature = "rls")]
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,3 +38,4 @@
 pub use api::*;
 pub use conf::{Bounds, Conf, ConfClass, ConfPlan, EffectWord};
 pub use control::Control;
+pub use note::keeper_of;
--- a/src/note.rs
+++ b/src/note.rs
@@ -20,6 +20,15 @@
     (hash ^ (hash >> 40)) & 0xff_ffff_ffff
 }
 
+/// The gateway of a set (`first`, `spread`, counted round among `gateways`) that keeps a customer's store, where
+/// the customer's plan has one keeper: with few gateways, all have. The number of a gateway; a hint for who asks,
+/// since any gateway of the set answers.
+#[must_use]
+pub fn keeper_of(customer: &str, first: u32, spread: u32, gateways: u32) -> u32 {
+    let spread = u64::from(if spread == 0 { gateways } else { spread.min(gateways) }.max(1));
+    (first + (key_of(customer) % spread) as u32) % gateways.max(1)
+}
+
 impl Item {
     /// The item as text. The time a question is good for goes along in place of its end.
     pub(crate) fn write(&self, key: u64, now: f64) -> String {
