--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -184,7 +184,8 @@
     /// One line with the field and what it may be.
     pub fn read(path: &Path) -> Result<Config, String> {
         let said = |e: String| format!("{}: {e}", path.display());
-        let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        let text =
+            std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
         Config::of(&text).map_err(said)
     }
 
--- a/crates/agent/src/fleet.rs
+++ b/crates/agent/src/fleet.rs
@@ -137,7 +137,10 @@
                     lock(&self.sets).seen(&seen.shop, seen.first, seen.spread, gateways);
                 }
                 News::State(state) => {
-                    eprintln!("frostagent: {name}: the breaker before the outside service is {}", word(&state));
+                    eprintln!(
+                        "frostagent: {name}: the breaker before the outside service is {}",
+                        word(&state)
+                    );
                     lock(&member.state).1 = Some(state);
                 }
                 News::Outside(ask) => match &outside {
@@ -172,7 +175,9 @@
         let mut known = self.tier.write().unwrap_or_else(PoisonError::into_inner);
         if **known != tier {
             if known.gateways > 0 {
-                eprintln!("frostagent: the gatekeepers' settings differ; those of the one linked last are used");
+                eprintln!(
+                    "frostagent: the gatekeepers' settings differ; those of the one linked last are used"
+                );
             }
             *known = Arc::new(tier);
         }
--- a/crates/agent/src/outside.rs
+++ b/crates/agent/src/outside.rs
@@ -8,8 +8,8 @@
 use frostvale_link::proto::{OutsideAsk, OutsideVerdict};
 use frostvale_proto::envoy::extensions::common::ratelimit::v3::RateLimitDescriptor;
 use frostvale_proto::envoy::extensions::common::ratelimit::v3::rate_limit_descriptor::Entry;
-use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::quota::ExpirationSpecifier;
 use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::descriptor_status::QuotaSpecifier;
+use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::quota::ExpirationSpecifier;
 use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::{Code, Quota};
 use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_service_client::RateLimitServiceClient;
 use frostvale_proto::envoy::service::ratelimit::v3::{RateLimitRequest, RateLimitResponse};
@@ -70,7 +70,8 @@
             .keep_alive_while_idle(false)
             .tcp_nodelay(true);
         if let Some(ca) = &config.ca {
-            let pem = std::fs::read(ca).map_err(|e| format!("outside.ca: cannot read {}: {e}", ca.display()))?;
+            let pem =
+                std::fs::read(ca).map_err(|e| format!("outside.ca: cannot read {}: {e}", ca.display()))?;
             endpoint = endpoint
                 .tls_config(ClientTlsConfig::new().ca_certificate(Certificate::from_pem(pem)))
                 .map_err(|e| format!("outside.ca: {e}"))?;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -50,7 +50,8 @@
     let fleet = Fleet::start(&config, outside.clone());
     let service = Service::new(fleet.clone(), rls.clone().unwrap_or_default());
     if let Some(listener) = control {
-        let status = Operators { name: config.name.clone(), fleet: fleet.clone(), counts: service.counts(), outside };
+        let status =
+            Operators { name: config.name.clone(), fleet: fleet.clone(), counts: service.counts(), outside };
         let mut stop = stop.clone();
         tokio::spawn(async move {
             let served = Server::builder()
@@ -112,12 +113,9 @@
         .add_service(RateLimitServiceServer::new(service).max_decoding_message_size(CALL_MOST))
         .add_service(health)
         .add_service(reflection)
-        .serve_with_incoming_shutdown(
-            TcpIncoming::from(listener).with_nodelay(Some(true)),
-            async move {
-                let _ = stop.wait_for(|stop| *stop).await;
-            },
-        )
+        .serve_with_incoming_shutdown(TcpIncoming::from(listener).with_nodelay(Some(true)), async move {
+            let _ = stop.wait_for(|stop| *stop).await;
+        })
         .await
         .map_err(|e| format!("the rate limit service has failed: {e}"))
 }
@@ -186,7 +184,10 @@
         .connect_with_connector(connect)
         .await
         .map_err(|e| {
-            format!("no agent answers at {}: {e:?}; is frostagent running, and is this its control.socket?", socket.display())
+            format!(
+                "no agent answers at {}: {e:?}; is frostagent running, and is this its control.socket?",
+                socket.display()
+            )
         })?;
     Ok(frostvale_proto::agent::agent_client::AgentClient::new(channel))
 }
--- a/crates/checks/src/answer.rs
+++ b/crates/checks/src/answer.rs
@@ -5,7 +5,9 @@
 use frostvale_proto::envoy::config::core::v3::HeaderValue;
 use frostvale_proto::envoy::service::ratelimit::v3::RateLimitResponse;
 use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::rate_limit::Unit;
-use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::{Code, DescriptorStatus, RateLimit};
+use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::{
+    Code, DescriptorStatus, RateLimit,
+};
 
 /// What came of one descriptor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,7 +63,9 @@
 }
 
 /// Puts an answer together: over the limit if any descriptor is, with headers of the tightest one.
-pub fn answer<'a>(found: impl IntoIterator<Item = (Found, Option<(&'a Ask, &'a Plan)>)>) -> RateLimitResponse {
+pub fn answer<'a>(
+    found: impl IntoIterator<Item = (Found, Option<(&'a Ask, &'a Plan)>)>,
+) -> RateLimitResponse {
     let mut statuses = Vec::new();
     let (mut over, mut by_mode, mut back_ms) = (false, None, 0);
     // The descriptor with the least left: what its headers would say.
--- a/crates/checks/src/read.rs
+++ b/crates/checks/src/read.rs
@@ -150,7 +150,8 @@
     };
     let most = if tier.gateways > 0 { tier.gateways } else { u32::MAX };
     let number = |(at, text): (usize, &str), low: u32, high: u32| {
-        let value = text.parse::<u32>().ok().filter(|n| text.as_bytes()[0] != b'+' && (low..=high).contains(n));
+        let value =
+            text.parse::<u32>().ok().filter(|n| text.as_bytes()[0] != b'+' && (low..=high).contains(n));
         value.ok_or_else(|| format!("entries[{at}].value: no number from {low} to {high}"))
     };
     let set = match (first, spread) {
--- /dev/null
+++ b/crates/ctl/src/dev.rs
@@ -0,0 +1,184 @@
+//! The whole town on one machine.
+
+use frostvale_standin::formula::Options;
+use frostvale_standin::load::{Tallies, Tally, play};
+use frostvale_standin::town::{Plan, Town};
+use rustix::process::{Signal, getppid, set_parent_process_death_signal};
+use std::collections::BTreeMap;
+use std::io::{IsTerminal, Write};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::PoisonError;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// What the town is to be.
+#[derive(clap::Args)]
+pub struct Args {
+    /// Gatekeepers, 1 to 100.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=100))]
+    gatekeepers: u8,
+    /// Formula servers, 1 to 100.
+    #[arg(long, default_value_t = 9, value_parser = clap::value_parser!(u8).range(1..=100))]
+    servers: u8,
+    /// Requests a second by RESP2 and gRPC together, up to 20000; without it nothing is played.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=20_000))]
+    load: Option<u32>,
+    /// Written once all serve: where everything is, as JSON.
+    #[arg(long, value_name = "FILE")]
+    ready_file: Option<PathBuf>,
+    /// Where configurations, sockets and logs go; kept. Without it they go to a folder that ends with the town.
+    #[arg(long, value_name = "FOLDER")]
+    folder: Option<PathBuf>,
+}
+
+/// A program and the process that it ends with.
+#[derive(clap::Args)]
+pub struct WithParent {
+    parent: u32,
+    #[arg(trailing_var_arg = true, allow_hyphen_values = true, required = true)]
+    command: Vec<String>,
+}
+
+/// Becomes a program that the kernel kills when its parent ends, however that ends.
+pub fn with_parent(args: &WithParent) -> Result<ExitCode, String> {
+    set_parent_process_death_signal(Some(Signal::KILL))
+        .map_err(|e| format!("cannot be bound to its parent: {e}"))?;
+    // It may have ended before that.
+    if getppid().is_none_or(|pid| pid.as_raw_nonzero().get().unsigned_abs() != args.parent) {
+        return Err("its parent has ended".into());
+    }
+    let (program, rest) = args.command.split_first().ok_or("no program")?;
+    let e = std::process::Command::new(program).args(rest).exec();
+    Err(format!("{program}: {e}"))
+}
+
+/// Runs the town until a signal comes.
+pub async fn run(args: Args) -> Result<ExitCode, String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
+    let own = std::env::current_exe().map_err(|e| format!("this program's own place is not known: {e}"))?;
+    let launcher = vec![own.display().to_string(), "with-parent".into(), std::process::id().to_string()];
+    let plan = Plan {
+        gatekeepers: usize::from(args.gatekeepers),
+        servers: usize::from(args.servers),
+        formula: Options { work: Duration::from_millis(20), ..Options::default() },
+        launcher,
+        folder: args.folder.clone(),
+        ..Plan::default()
+    };
+    if let Some(file) = &args.ready_file {
+        // One of an earlier town would tell of addresses that are gone.
+        let _ = std::fs::remove_file(file);
+    }
+    let mut town = tokio::select! {
+        town = Town::start(plan) => town?,
+        _ = term.recv() => return Ok(ExitCode::SUCCESS),
+        _ = int.recv() => return Ok(ExitCode::SUCCESS),
+        _ = hup.recv() => return Ok(ExitCode::SUCCESS),
+    };
+    tell(&town);
+    if let Some(file) = &args.ready_file {
+        write_whole(file, &town.ready().to_string())?;
+    }
+    let tallies = Tallies::default();
+    let playing = args.load.map(|rate| {
+        let gatekeepers = town.gatekeepers.iter().map(|g| (g.number, g.resp)).collect();
+        let shops = town.shops(8, 2);
+        tokio::spawn(play(f64::from(rate), gatekeepers, Some(town.rls), shops, tallies.clone()))
+    });
+    let mut tick = interval(Duration::from_secs(1));
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut shown = 0;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => break,
+            _ = tick.tick() => {
+                mend(&mut town).await;
+                if playing.is_some() {
+                    let now = tallies.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                    show(&now, &mut shown);
+                }
+            }
+        }
+    }
+    if let Some(playing) = playing {
+        playing.abort();
+    }
+    println!("frostctl: the town stops");
+    town.stop().await;
+    if let Some(file) = &args.ready_file {
+        let _ = std::fs::remove_file(file);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Writes a file so that whoever sees it sees all of it.
+fn write_whole(file: &Path, text: &str) -> Result<(), String> {
+    let fresh = file.with_extension("part");
+    let written = std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, file));
+    written.map_err(|e| format!("--ready-file {}: {e}", file.display()))
+}
+
+/// Starts again what has ended, so that any of it can be killed to see what comes of it.
+async fn mend(town: &mut Town) {
+    for k in 0..town.gatekeepers.len() {
+        if let Some(how) = town.gatekeepers[k].process.has_ended() {
+            let name = town.gatekeepers[k].name.clone();
+            println!("frostctl: {name} has ended ({how}); its requests were lost, it is started again");
+            if let Err(e) = town.restart_gatekeeper(k).await {
+                println!("frostctl: {e}");
+            }
+        }
+    }
+    if let Some(how) = town.agent.as_mut().and_then(frostvale_standin::town::Process::has_ended) {
+        println!("frostctl: the agent has ended ({how}); RESP2 traffic goes on, it is started again");
+        if let Err(e) = town.start_agent().await {
+            println!("frostctl: {e}");
+        }
+    }
+}
+
+fn tell(town: &Town) {
+    let exe = std::env::current_exe().map_or("frostctl".into(), |e| e.display().to_string());
+    println!("The town serves; its files are in {}. Ctrl-C ends all of it.", town.folder.display());
+    for g in &town.gatekeepers {
+        println!("  {:<12} RESP2 at {}, link at {}", g.name, g.resp, g.socket.display());
+    }
+    println!("  {:<12} rate limits (gRPC) at {}, control at {}", "agent", town.rls, town.control.display());
+    println!("  {:<12} {} of them, from {}", "servers", town.servers.len(), town.servers[0].at);
+    println!("  {:<12} at {}", "discovery", town.discovery.at);
+    println!("  {:<12} at {}", "counter", town.counter.at);
+    println!("To try them:");
+    println!("  {exe} ask --gatekeeper {} --plan tienda", town.gatekeepers[0].resp);
+    println!("  {exe} check --rls {} --plan tienda", town.rls);
+    println!("  {exe} status --agent {}", town.control.display());
+    println!("  curl -s http://{}/v1/servers", town.discovery.at);
+    println!("  curl -s -X POST 'http://{}/v1/count/mixes?add=1&ttl_ms=4000'", town.counter.at);
+}
+
+/// Shows the tallies by plan, over the last ones on a terminal.
+fn show(tallies: &BTreeMap<String, Tally>, shown: &mut usize) {
+    let mut text = String::new();
+    if std::io::stdout().is_terminal() && *shown > 0 {
+        text.push_str(&format!("\x1b[{shown}A\x1b[J"));
+    }
+    text.push_str(&format!(
+        "{:<14} {:>9} {:>9} {:>8} {:>9} {:>9} {:>8} {:>9}\n",
+        "plan", "served", "refused", "failed", "granted", "over", "errors", "units"
+    ));
+    for (plan, t) in tallies {
+        text.push_str(&format!(
+            "{plan:<14} {:>9} {:>9} {:>8} {:>9} {:>9} {:>8} {:>9}\n",
+            t.served, t.refused, t.failed, t.granted, t.over, t.errors, t.units
+        ));
+    }
+    *shown = tallies.len() + 1;
+    let mut out = std::io::stdout().lock();
+    let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,52 @@
+//! `frostctl`: the operators' command line.
+
+mod ask;
+mod dev;
+mod status;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Looks after frostvale's gatekeepers and agents.
+#[derive(Parser)]
+#[command(name = "frostctl", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a whole town on this machine: formula servers, discovery, counter, gatekeepers and an agent.
+    Dev(dev::Args),
+    /// Asks an agent how its gatekeepers, its calls and the outside service do.
+    Status(status::Args),
+    /// Asks the rate limit service whether a shop may have units, as a web store does. Exit code 5: over the limit.
+    Check(ask::Check),
+    /// Sends a request by RESP2, as a tinting station does. Exit code 5: refused.
+    Ask(ask::Ask),
+    /// Starts a program that ends with its parent.
+    #[command(hide = true, name = "with-parent")]
+    WithParent(dev::WithParent),
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let ended = match args.command {
+        Command::WithParent(args) => dev::with_parent(&args),
+        Command::Dev(args) => block_on(dev::run(args)),
+        Command::Status(args) => block_on(status::run(args)),
+        Command::Check(args) => block_on(ask::check(args)),
+        Command::Ask(args) => block_on(ask::ask(args)),
+    };
+    ended.unwrap_or_else(|what| {
+        eprintln!("frostctl: {what}");
+        ExitCode::FAILURE
+    })
+}
+
+fn block_on(work: impl Future<Output = Result<ExitCode, String>>) -> Result<ExitCode, String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let ended = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(work)?;
+    Ok(ended)
+}
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,99 @@
+//! How an agent does.
+
+use frostvale_agent::serve::control;
+use frostvale_proto::agent::{StatusRequest, StatusResponse};
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Some gatekeeper is not linked.
+const PARTLY: u8 = 3;
+
+/// Which agent.
+#[derive(clap::Args)]
+pub struct Args {
+    /// The agent's control socket.
+    #[arg(long, default_value = "/run/frostvale/agent.sock")]
+    agent: PathBuf,
+    /// How it is printed.
+    #[arg(long, value_enum, default_value_t = Output::Table)]
+    output: Output,
+}
+
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Output {
+    Table,
+    Json,
+}
+
+/// Prints it. Exit code 3: some gatekeeper is not linked.
+pub async fn run(args: Args) -> Result<ExitCode, String> {
+    let mut agent = control(&args.agent).await?;
+    let said = agent.status(StatusRequest {}).await.map_err(|e| format!("the agent: {}", e.message()))?;
+    let status = said.into_inner();
+    match args.output {
+        Output::Table => table(&status),
+        Output::Json => println!("{}", as_json(&status)),
+    }
+    let all = status.gatekeepers.iter().all(|g| g.state == "linked");
+    Ok(if all { ExitCode::SUCCESS } else { ExitCode::from(PARTLY) })
+}
+
+fn table(status: &StatusResponse) {
+    println!("agent {}: {} shops' sets known", status.name, status.sets);
+    println!(
+        "{:<12} {:<9} {:>6} {:>8}  {:<10} problem",
+        "gatekeeper", "state", "number", "in hand", "breaker"
+    );
+    for g in &status.gatekeepers {
+        let breaker = if g.breaker.is_empty() {
+            "-".to_string()
+        } else {
+            format!("{} ({} failed, {} by mode)", g.breaker, g.outside_failed, g.outside_by_mode)
+        };
+        println!(
+            "{:<12} {:<9} {:>6} {:>8}  {breaker:<10} {}",
+            g.name, g.state, g.number, g.in_hand, g.problem
+        );
+    }
+    let c = status.calls.unwrap_or_default();
+    println!(
+        "calls {}: {} invalid; checks: {} granted, {} over, {} unmatched, {} given back",
+        c.calls, c.invalid, c.granted, c.over, c.unmatched, c.given_back
+    );
+    println!(
+        "undecided: {} allowed, {} denied, of them {} that a gatekeeper may have charged",
+        c.undecided_allowed, c.undecided_denied, c.in_doubt
+    );
+    if let Some(o) = status.outside.filter(|o| o.configured) {
+        println!(
+            "outside service: {} asked, {} ok, {} over, {} failed, {} in hand",
+            o.asked, o.ok, o.over, o.failed, o.in_hand
+        );
+    }
+}
+
+fn as_json(status: &StatusResponse) -> serde_json::Value {
+    let gatekeeper = |g: &frostvale_proto::agent::Gatekeeper| {
+        json!({
+            "name": g.name, "state": g.state, "number": g.number, "in_hand": g.in_hand, "problem": g.problem,
+            "socket": g.socket, "started_ms": g.started_ms, "breaker": g.breaker,
+            "outside_failed": g.outside_failed, "outside_by_mode": g.outside_by_mode,
+        })
+    };
+    let c = status.calls.unwrap_or_default();
+    let o = status.outside.unwrap_or_default();
+    json!({
+        "name": status.name, "sets": status.sets,
+        "gatekeepers": status.gatekeepers.iter().map(gatekeeper).collect::<Vec<_>>(),
+        "calls": {
+            "calls": c.calls, "invalid": c.invalid, "unmatched": c.unmatched, "granted": c.granted, "over": c.over,
+            "undecided_allowed": c.undecided_allowed, "undecided_denied": c.undecided_denied,
+            "given_back": c.given_back, "in_doubt": c.in_doubt,
+        },
+        "outside": {
+            "configured": o.configured, "asked": o.asked, "ok": o.ok, "over": o.over, "failed": o.failed,
+            "in_hand": o.in_hand,
+        },
+    })
+}
--- a/crates/link/src/agent.rs
+++ b/crates/link/src/agent.rs
@@ -185,7 +185,8 @@
     let mut backoff = BACKOFF_LEAST;
     let mut last = String::new();
     loop {
-        let mut session = Session { shared: &shared, news: &news, waiting: HashMap::new(), sent: VecDeque::new() };
+        let mut session =
+            Session { shared: &shared, news: &news, waiting: HashMap::new(), sent: VecDeque::new() };
         let ended = session.run(&options, &mut orders).await;
         shared.set_welcome(None);
         shared.waits_since.store(0, Ordering::Relaxed);
@@ -233,7 +234,11 @@
 
 impl Session<'_> {
     /// Runs until the connection ends; the error says why, and whether it was ever up. Ok: nobody asks any more.
-    async fn run(&mut self, options: &Options, orders: &mut mpsc::Receiver<Order>) -> Result<(), (String, bool)> {
+    async fn run(
+        &mut self,
+        options: &Options,
+        orders: &mut mpsc::Receiver<Order>,
+    ) -> Result<(), (String, bool)> {
         let stream = UnixStream::connect(&options.socket)
             .await
             .map_err(|e| (format!("cannot connect to {}: {e}", options.socket.display()), false))?;
--- a/crates/standin/src/formula.rs
+++ b/crates/standin/src/formula.rs
@@ -112,7 +112,13 @@
     ///
     /// # Errors
     /// When it can't listen.
-    pub async fn start(uid: &str, ip: IpAddr, options: Options, rack: Rack, cold: bool) -> std::io::Result<Formula> {
+    pub async fn start(
+        uid: &str,
+        ip: IpAddr,
+        options: Options,
+        rack: Rack,
+        cold: bool,
+    ) -> std::io::Result<Formula> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let at = listener.local_addr()?;
         let boot_ms = if cold { crate::town::unix_ms() } else { 0 };
@@ -191,7 +197,9 @@
             return Some(b"-SYNTAX\r\n".to_vec());
         };
         let options = &self.options;
-        if self.faults.busy.load(Ordering::Relaxed) || self.waiting.load(Ordering::Relaxed) >= options.queue as u64 {
+        if self.faults.busy.load(Ordering::Relaxed)
+            || self.waiting.load(Ordering::Relaxed) >= options.queue as u64
+        {
             return Some(format!("-BUSY {}\r\n", self.report()).into_bytes());
         }
         {
@@ -229,7 +237,10 @@
         }
         let value = format!("formula for {id}");
         let report = self.report();
-        Some(format!("*3\r\n${}\r\n{value}\r\n$-1\r\n${}\r\n{report}\r\n", value.len(), report.len()).into_bytes())
+        Some(
+            format!("*3\r\n${}\r\n{value}\r\n$-1\r\n${}\r\n{report}\r\n", value.len(), report.len())
+                .into_bytes(),
+        )
     }
 
     fn warmth(&self) -> f64 {
