--- /dev/null
+++ b/crates/checks/tests/read.rs
@@ -0,0 +1,170 @@
+//! What is read of a call, and what is made of the decisions.
+
+use frostvale_checks::answer::{Found, answer};
+use frostvale_checks::read::{Ask, DESCRIPTORS_MOST, ENTRIES_MOST, Names, read};
+use frostvale_checks::{Mode, Plan, Tier};
+use frostvale_proto::envoy::extensions::common::ratelimit::v3::RateLimitDescriptor;
+use frostvale_proto::envoy::extensions::common::ratelimit::v3::rate_limit_descriptor::Entry;
+use frostvale_proto::envoy::service::ratelimit::v3::RateLimitRequest;
+use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::{Code, rate_limit::Unit};
+use proptest::prelude::*;
+
+const SHOP: &str = "00000000b4d65521";
+
+fn tier() -> Tier {
+    let plan = |number, rate_milli, ceiling_rate_milli| Plan {
+        number,
+        rate_milli,
+        burst_milli: 6000,
+        ceiling_rate_milli,
+    };
+    Tier {
+        gateways: 3,
+        plans: [
+            ("basico".to_string(), plan(0, 1400, 0)),
+            ("ferreteria".to_string(), plan(1, 10_000, 20_000)),
+        ]
+        .into(),
+        classes: vec!["formula-read".into(), "mix-record".into()],
+        largest_milli: 4000,
+    }
+}
+
+fn descriptor(entries: &[(&str, &str)]) -> RateLimitDescriptor {
+    let entries = entries.iter().map(|(k, v)| Entry { key: (*k).into(), value: (*v).into() }).collect();
+    RateLimitDescriptor { entries, hits_addend: None }
+}
+
+fn call(descriptors: Vec<RateLimitDescriptor>) -> RateLimitRequest {
+    RateLimitRequest { domain: "frostvale".into(), descriptors, hits_addend: 0 }
+}
+
+fn one(entries: &[(&str, &str)]) -> Result<Vec<Option<Ask>>, String> {
+    read(&call(vec![descriptor(entries)]), &Names::default(), &tier()).map_err(|e| e.0)
+}
+
+#[test]
+fn a_descriptor_says_whose_units_and_how_many() {
+    let asks =
+        one(&[("shop", SHOP), ("plan", "basico"), ("class", "mix-record"), ("first", "2"), ("spread", "2")]);
+    let ask = asks.expect("sound")[0].clone().expect("matched");
+    assert_eq!((ask.shop.as_str(), ask.class, ask.units_milli, ask.set), (SHOP, 1, 1000, Some((2, 2))));
+    let mut own = call(vec![descriptor(&[("shop", SHOP), ("plan", "basico")]); 2]);
+    own.hits_addend = 3;
+    own.descriptors[1].hits_addend = Some(2);
+    let asks = read(&own, &Names::default(), &tier()).expect("sound");
+    let units: Vec<u64> = asks.into_iter().flatten().map(|a| a.units_milli).collect();
+    assert_eq!(units, [3000, 2000], "a descriptor's own addend stands over the call's");
+}
+
+#[test]
+fn what_matches_no_plan_has_no_limit() {
+    for entries in
+        [&[("shop", SHOP)][..], &[("remote_address", "10.0.0.1")], &[("shop", SHOP), ("plan", "gold")]]
+    {
+        assert_eq!(one(entries), Ok(vec![None]), "{entries:?}");
+    }
+    let mut elsewhere = call(vec![descriptor(&[("shop", SHOP), ("plan", "basico")])]);
+    elsewhere.domain = "another".into();
+    assert_eq!(read(&elsewhere, &Names::default(), &tier()), Ok(vec![None]));
+}
+
+#[test]
+fn what_cannot_be_read_is_named_with_what_it_may_be() {
+    let long = "x".repeat(257);
+    let bad: &[(&[(&str, &str)], &str)] = &[
+        (&[], "descriptors[0].entries: 0 of them; 1 to 32"),
+        (&[("", "x")], "descriptors[0].entries[0].key: 0 bytes; 1 to 256"),
+        (&[("other", &long)], "descriptors[0].entries[0].value: 257 bytes; at most 256"),
+        (&[("plan", "basico")], "descriptors[0].entries: a plan and no \"shop\""),
+        (&[("plan", ""), ("shop", SHOP)], "entries[0].value: empty"),
+        (&[("plan", "basico"), ("shop", "b4d65521")], "entries[1].value: no shop"),
+        (&[("plan", "basico"), ("shop", "00000002b4d65521")], "below 2^33"),
+        (&[("plan", "basico"), ("plan", "basico"), ("shop", SHOP)], "entries[1].key: \"plan\" stands twice"),
+        (&[("plan", "basico"), ("shop", SHOP), ("class", "x")], "entries[2].value: no class of that name"),
+        (&[("plan", "basico"), ("shop", SHOP), ("first", "0")], "\"first\" and \"spread\" go together"),
+        (&[("plan", "basico"), ("shop", SHOP), ("first", "3"), ("spread", "1")], "no number from 0 to 2"),
+        (&[("plan", "basico"), ("shop", SHOP), ("first", "0"), ("spread", "0")], "no number from 1 to 3"),
+        (&[("plan", "basico"), ("shop", SHOP), ("first", "+1"), ("spread", "1")], "no number from 0 to 2"),
+        (&[("plan", "basico"), ("shop", SHOP), ("first", ""), ("spread", "1")], "no number from 0 to 2"),
+    ];
+    for (entries, word) in bad {
+        let said = one(entries).expect_err("bad");
+        assert!(said.contains(word), "{entries:?}: {said}");
+    }
+    let refused = |call: RateLimitRequest| read(&call, &Names::default(), &tier()).expect_err("bad").0;
+    let sound = descriptor(&[("shop", SHOP), ("plan", "basico")]);
+    assert!(
+        refused(RateLimitRequest { domain: String::new(), ..call(vec![sound.clone()]) }).contains("domain")
+    );
+    assert!(refused(call(vec![])).contains("descriptors: 0 of them; 1 to 16"));
+    assert!(refused(call(vec![sound.clone(); DESCRIPTORS_MOST + 1])).contains("descriptors: 17"));
+    let many = vec![("other", "x"); ENTRIES_MOST + 1];
+    assert!(refused(call(vec![descriptor(&many)])).contains("entries: 33"));
+    let mut much = call(vec![sound]);
+    much.hits_addend = 5;
+    assert!(refused(much).contains("descriptors[0].hits_addend: 5; 0 to 4"));
+}
+
+#[test]
+fn the_answer_is_over_if_any_is_and_says_when_to_come_back() {
+    let (ask, plan) = (
+        Ask { shop: SHOP.into(), plan: "basico".into(), class: 0, units_milli: 1000, set: None },
+        tier().plans["basico"].clone(),
+    );
+    let of = Some((&ask, &plan));
+    let granted = Found::Granted { remaining_milli: Some(2500), reset_ms: 900 };
+    let over = Found::Over { remaining_milli: Some(400), reset_ms: 1400 };
+    let header = |a: &frostvale_proto::envoy::service::ratelimit::v3::RateLimitResponse, key: &str| {
+        a.response_headers_to_add.iter().find(|h| h.key == key).map(|h| h.value.clone())
+    };
+    let good = answer([(granted, of), (Found::Unmatched, None)]);
+    assert_eq!(good.overall_code(), Code::Ok);
+    assert_eq!(good.statuses[0].limit_remaining, 2);
+    let limit = good.statuses[0].current_limit.clone().expect("a limit");
+    assert_eq!((limit.requests_per_unit, limit.unit()), (84, Unit::Minute), "1.4 a second");
+    assert_eq!(header(&good, "retry-after"), None);
+    let bad = answer([(granted, of), (over, of)]);
+    assert_eq!(bad.overall_code(), Code::OverLimit);
+    assert_eq!(header(&bad, "retry-after").as_deref(), Some("2"));
+    assert_eq!(header(&bad, "x-ratelimit-remaining").as_deref(), Some("0"));
+    let reset = bad.statuses[1].duration_until_reset.expect("a time");
+    assert_eq!((reset.seconds, reset.nanos), (1, 400_000_000));
+    let denied = answer([(Found::Undecided(Mode::Deny), of)]);
+    assert_eq!(denied.overall_code(), Code::OverLimit);
+    assert_eq!(header(&denied, "x-frostvale-undecided").as_deref(), Some("deny"));
+    assert!(header(&denied, "retry-after").is_some());
+    assert_eq!(answer([(Found::Undecided(Mode::Allow), of)]).overall_code(), Code::Ok);
+}
+
+#[test]
+fn a_plan_with_a_ceiling_denies_whatever_is_configured() {
+    assert_eq!(tier().plans["ferreteria"].mode(Mode::Allow), Mode::Deny);
+    assert_eq!(tier().plans["basico"].mode(Mode::Allow), Mode::Allow);
+}
+
+proptest! {
+    #[test]
+    fn any_call_is_read_or_refused_and_what_is_read_is_in_range(
+        domain in "[a-z]{0,10}",
+        entries in prop::collection::vec(prop::collection::vec(
+            (prop_oneof!["shop", "plan", "class", "first", "spread", "[a-z]{0,3}"],
+             prop_oneof!["[0-9a-f]{16}", "basico", "ferreteria", "[0-9]{0,3}", ".{0,20}"]), 0..7), 0..5),
+        addend in 0u32..8,
+    ) {
+        let descriptors = entries
+            .iter()
+            .map(|e| descriptor(&e.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect::<Vec<_>>()))
+            .collect();
+        let call = RateLimitRequest { domain, descriptors, hits_addend: addend };
+        if let Ok(asks) = read(&call, &Names::default(), &tier()) {
+            prop_assert_eq!(asks.len(), call.descriptors.len());
+            for ask in asks.into_iter().flatten() {
+                prop_assert!(tier().plans.contains_key(&ask.plan));
+                prop_assert!((1000..=4000).contains(&ask.units_milli));
+                prop_assert!(ask.set.is_none_or(|(f, s)| f < 3 && (1..=3).contains(&s)));
+                prop_assert!(u64::from_str_radix(&ask.shop, 16).is_ok_and(|n| n < 1 << 33));
+            }
+        }
+    }
+}
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -367,12 +367,13 @@
             folder,
             plan,
         };
-        for k in 0..town.plan.gatekeepers {
-            town.write(k, SocketAddr::new(ip, resp[k]), notes, &plans)?;
+        for (k, port) in resp.iter().enumerate() {
+            let resp = SocketAddr::new(ip, *port);
+            town.write(k, resp, notes, &plans)?;
             let name = format!("n{}", k + 1);
             let gatekeeper = Gatekeeper {
                 number: u32::try_from(k).unwrap_or(0),
-                resp: SocketAddr::new(ip, resp[k]),
+                resp,
                 socket: town.folder.join(format!("{name}.sock")),
                 config: town.folder.join(format!("{name}.json")),
                 extra: town.folder.join(format!("{name}.toml")),
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -593,3 +593,189 @@
     // Within the aim a client's own wait will do.
     assert!(advice(&g.handle(300.0, request(4, 2.0))) == 0.0);
 }
+
+// ---- checks ----
+
+fn check(id: u64, plan: usize, units: f64, now: f64) -> Event {
+    let Event::Request(request) = ask(id, 0, plan, now) else { unreachable!("a request") };
+    Event::Check(Request { units, spread: 1, ..request })
+}
+
+fn verdict(actions: &[Action]) -> Option<(bool, f64, f64)> {
+    actions.iter().find_map(|a| match a {
+        Action::Verdict { granted, remaining, reset, .. } => Some((*granted, *remaining, *reset)),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_check_is_charged_once_and_sends_nothing() {
+    let mut g = gateway(settings());
+    let mut answers = Vec::new();
+    for id in 0..6 {
+        let actions = g.handle(10.0, check(id, 1, 1.0, 10.0));
+        assert!(sent(&actions).is_none(), "a check goes to no server");
+        answers.push(verdict(&actions).expect("decided at once by the keeper itself"));
+    }
+    let granted: Vec<bool> = answers.iter().map(|a| a.0).collect();
+    assert_eq!(granted, [true, true, true, true, false, false], "the store holds 4");
+    let left: Vec<f64> = answers.iter().map(|a| a.1).collect();
+    assert_eq!(left[..4], [3.0, 2.0, 1.0, 0.0]);
+    // 2 units a second: the next one fits in half a second, and the whole store is full in two.
+    assert_eq!((answers[3].2, answers[4].2), (2000.0, 500.0));
+    assert!(verdict(&g.handle(511.0, check(7, 1, 1.0, 511.0))).expect("decided").0);
+}
+
+#[test]
+fn checks_and_requests_take_from_one_store() {
+    let mut g = gateway(settings());
+    let mut passed = 0;
+    for id in 0..20 {
+        let event = if id % 2 == 0 { check(id, 1, 1.0, 10.0) } else { ask(id, 0, 1, 10.0) };
+        let actions = g.handle(10.0, event);
+        passed += u32::from(sent(&actions).is_some() || verdict(&actions).is_some_and(|v| v.0));
+    }
+    assert_eq!(passed, 4, "the store holds 4, however they are asked for");
+}
+
+#[test]
+fn a_check_holds_the_ceiling_with_the_requests() {
+    let mut g = gateway(settings());
+    g.handle(0.0, check(0, 3, 1.0, 0.0));
+    let mut passed = 0.0;
+    for k in 1..2000u32 {
+        let now = f64::from(k) * 10.0;
+        let id = u64::from(k);
+        let event = if k % 2 == 0 { check(id, 3, 1.0, now) } else { ask(id, 0, 3, now) };
+        let actions = g.handle(now, event);
+        if let Some(server) = sent(&actions) {
+            passed += 1.0;
+            g.handle(now, end(id, &server, Ending::Ok, 1.0));
+        }
+        passed += verdict(&actions).map_or(0.0, |v| f64::from(u8::from(v.0)));
+        let most = 4.0 * now / 1000.0 + 16.0 + 2.0;
+        assert!(passed <= most, "{passed} units by {now} ms, {most} at most");
+    }
+    assert!(passed >= 0.8 * 80.0, "and the ceiling is used: {passed}");
+}
+
+#[test]
+fn units_of_a_check_that_were_not_used_come_back_once() {
+    let mut g = gateway(settings());
+    for id in 0..4 {
+        g.handle(10.0, check(id, 1, 1.0, 10.0));
+    }
+    assert!(!verdict(&g.handle(10.0, check(4, 1, 1.0, 10.0))).expect("decided").0);
+    let Event::Check(request) = check(3, 1, 1.0, 10.0) else { unreachable!("a check") };
+    g.handle(10.0, Event::Unused(request));
+    assert!(verdict(&g.handle(10.0, check(5, 1, 1.0, 10.0))).expect("decided").0);
+    assert!(!verdict(&g.handle(10.0, check(6, 1, 1.0, 10.0))).expect("decided").0);
+}
+
+#[test]
+fn a_check_needs_no_place_and_takes_none() {
+    let mut g = gateway(settings());
+    // Plan 2 has two places for each customer; both are out.
+    assert!(sent(&g.handle(10.0, ask(0, 0, 2, 10.0))).is_some());
+    assert!(sent(&g.handle(10.0, ask(1, 0, 2, 10.0))).is_some());
+    for id in 2..6 {
+        assert!(verdict(&g.handle(10.0, check(id, 2, 1.0, 10.0))).expect("decided").0);
+    }
+}
+
+#[test]
+fn a_check_at_a_gateway_whose_keeper_is_silent_is_decided_by_its_own_slice_in_time() {
+    let cfg = Settings { gateways: 2, ..settings() };
+    let (keeper, other) = (keeper_of("acme", 0, 2, 2), 1 - keeper_of("acme", 0, 2, 2));
+    let mut g = gateway(Settings { me: other, ..cfg });
+    let Event::Check(request) = check(1, 1, 1.0, 1000.0) else { unreachable!("a check") };
+    let actions = g.handle(1000.0, Event::Check(Request { spread: 2, ..request }));
+    assert!(verdict(&actions).is_none(), "the keeper is asked first");
+    assert!(actions.iter().any(|a| matches!(a, Action::Tell { to, .. } if *to == keeper)));
+    let (token, after) = actions
+        .iter()
+        .find_map(|a| match a {
+            Action::SetTimer { token, after } if *after > 1.0 => Some((*token, *after)),
+            _ => None,
+        })
+        .expect("a limit to the wait");
+    assert!(after <= 0.3 * 800.0, "part of the aim, not {after}");
+    let actions = g.handle(1000.0 + after, Event::Timer { token });
+    assert!(verdict(&actions).expect("decided without the keeper").0);
+    let tell = g.handle(3000.0, Event::Timer { token: 1 });
+    let told = |actions: &[Action]| {
+        actions.iter().any(|a| matches!(a, Action::Tell { to, text } if *to == keeper && text.contains("t,")))
+    };
+    assert!(told(&tell) || told(&actions), "and the keeper is told what was charged");
+}
+
+#[test]
+fn a_check_that_nobody_waits_for_any_more_is_forgotten() {
+    let cfg = Settings { gateways: 2, ..settings() };
+    let other = 1 - keeper_of("acme", 0, 2, 2);
+    let mut g = gateway(Settings { me: other, ..cfg });
+    let Event::Check(request) = check(1, 1, 1.0, 10.0) else { unreachable!("a check") };
+    g.handle(10.0, Event::Check(Request { spread: 2, ..request }));
+    g.handle(11.0, Event::Left { id: 1 });
+    for token in 0..10 {
+        assert!(verdict(&g.handle(900.0, Event::Timer { token })).is_none());
+    }
+}
+
+proptest::proptest! {
+    /// Two gateways of one set, notes between them lost now and then: what both let through by requests and checks
+    /// together stays within the ceiling.
+    #[test]
+    fn requests_checks_and_returns_in_any_order_stay_below_the_ceiling(
+        steps in proptest::collection::vec((0u8..4, 1u32..3, 0u32..60, 0u8..2, 0u8..5), 1..400),
+    ) {
+        let cfg = Settings { gateways: 2, largest: 2.0, ..settings() };
+        let mut all = [gateway(cfg.clone()), gateway(Settings { me: 1, ..cfg })];
+        let (mut now, mut passed) = (0.0, 0.0);
+        let mut granted: Vec<(usize, Request)> = Vec::new();
+        let mut waiting = std::collections::BTreeMap::new();
+        for (id, (kind, units, gap, at, lost)) in steps.into_iter().enumerate() {
+            now += f64::from(gap);
+            let (id, at) = (id as u64, usize::from(at));
+            let Event::Request(request) = ask(id, 0, 3, now) else { unreachable!("a request") };
+            let request = Request { units: f64::from(units), ..request };
+            let event = match kind {
+                0 => Event::Request(request.clone()),
+                1 | 2 => Event::Check(request.clone()),
+                _ => match granted.pop() {
+                    Some((holder, unused)) => {
+                        passed -= unused.units;
+                        all[holder].handle(now, Event::Unused(unused));
+                        continue;
+                    }
+                    None => continue,
+                },
+            };
+            waiting.insert(id, (at, request));
+            let mut todo = vec![(at, event)];
+            while let Some((at, event)) = todo.pop() {
+                for action in all[at].handle(now, event) {
+                    match action {
+                        Action::Tell { to, text } if lost > 0 => {
+                            todo.push((to as usize, Event::Note { from: at as u32, text }));
+                        }
+                        Action::Send { id, server, .. } => {
+                            passed += waiting.remove(&id).map_or(0.0, |(_, r)| r.units);
+                            todo.push((at, end(id, &server, Ending::Ok, 1.0)));
+                        }
+                        Action::Verdict { id, granted: yes, .. } => {
+                            let (_, request) = waiting.remove(&id).expect("one verdict for each check");
+                            if yes {
+                                passed += request.units;
+                                granted.push((at, request));
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            let most = 4.0 * now / 1000.0 + 16.0 + 2.0 + 1e-6;
+            proptest::prop_assert!(passed <= most, "{} units by {} ms, {} at most", passed, now, most);
+        }
+    }
+}
