--- a/crates/agent/tests/quota.rs
+++ b/crates/agent/tests/quota.rs
@@ -100,6 +100,8 @@
     println!("{resp} by RESP2 and {calls} by gRPC in {took:.1} s; at most {most:.0}");
     assert!(passed <= most, "{passed} units passed, {most} at most: the protocols are counted apart");
     assert!(passed >= 0.8 * rate * took, "the quota is used: {passed}");
+    let least = resp.min(calls) as f64;
+    assert!(least >= 0.2 * passed, "one takes it from the other: {resp} by RESP2, {calls} by gRPC");
     town.stop().await;
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -235,6 +235,9 @@
         }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted, _) = c.told.unwrap_or((f64::NEG_INFINITY, 0.0, 0.0, 0.0));
+        // Checks come to the keeper itself. Unthinned they would take each unit before others' requests can.
+        let kept = check && keeper == me;
+        let (at, demand, granted) = if kept { (c.at, c.demand, c.granted) } else { (at, demand, granted) };
         let demand = demand * (-(now - at) / FADE_MS).exp();
         // What quota and places let through is asked for in any case: else grants would sink further.
         let limited = plan.open > 0 && plan.open < spread;
@@ -250,7 +253,7 @@
         let ample = !limited && c.stock >= units;
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
-        if keeper != me && !ample && c.credit < 1.0 {
+        if (keeper != me || check) && !ample && c.credit < 1.0 {
             return self.refuse(&request, check);
         }
         c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
@@ -269,7 +272,7 @@
         let (until, queued) = (ask.until, true);
         let mut job = Job { request, check, key, keeper, tier, arrived: now, number, place, until, queued };
         if keeper == me {
-            return match self.asked(key, name, ask, units).0 {
+            return match self.asked(key, name, ask, if check { weight } else { units }).0 {
                 Word::Grant => self.admit(job),
                 Word::Deny => self.refuse(&job.request, check),
                 Word::Wait => self.wait(job),
