--- a/crates/outside/tests/breaker.rs
+++ b/crates/outside/tests/breaker.rs
@@ -232,7 +232,8 @@
             while let Some(at) = open.iter().position(|(_, _, until)| *until <= now) {
                 let (call, of, until) = open.remove(at);
                 let step = c.late(until, call);
-                prop_assert!(step.as_ref().is_some_and(|(r, s)| *r == of && !matches!(s, Step::Ask { .. })));
+                let ended = step.as_ref().is_some_and(|(r, s)| *r == of && !matches!(s, Step::Ask { .. }));
+                prop_assert!(ended);
                 prop_assert!(decided.insert(of));
             }
             match c.ask(now, request, &shop(n), 0, 1.0, AIM, kind != 5) {
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -40,7 +40,7 @@
     }
 
     async fn hello(&mut self, version: u32) {
-        let hello = Hello { version, peer: "test".into(), outside: false };
+        let hello = Hello { version, peer: "test".into(), outside: false, record: false };
         self.say(&ToNode { hello: Some(hello), ..ToNode::default() }).await;
     }
 
