--- a/crates/record/src/upload.rs
+++ b/crates/record/src/upload.rs
@@ -302,11 +302,9 @@
             for (kind, n) in steps {
                 now += n as f64;
                 match kind {
-                    0 | 1 => {
-                        if u.may_spool(n) {
-                            u.spooled(n);
-                            held.push_back(n);
-                        }
+                    0 | 1 if u.may_spool(n) => {
+                        u.spooled(n);
+                        held.push_back(n);
                     }
                     2 => {
                         if let Next::Send(count) = u.next(now) {
--- a/crates/standin/src/postgres.rs
+++ b/crates/standin/src/postgres.rs
@@ -422,7 +422,7 @@
             };
             FieldInfo::new(column.name().to_string(), None, None, kind, format.format_for(k))
         };
-        Ok(statement.columns().into_iter().enumerate().map(field).collect())
+        Ok(statement.columns().enumerate().map(field).collect())
     }
 
     /// Statements that only a server knows, and those on which something goes wrong.
