--- a/crates/agent/src/fleet.rs
+++ b/crates/agent/src/fleet.rs
@@ -11,6 +11,7 @@
 use frostvale_link::proto::outside_state::Breaker;
 use frostvale_link::proto::{Check, OutsideState, Plan as PlanWord, Welcome};
 use frostvale_proto::agent::Gatekeeper;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -114,7 +115,11 @@
             default_set: (rls.default_set.first, rls.default_set.spread),
         });
         let keeper = record.map(|(keeper, taken)| {
-            let links = fleet.members.iter().map(|m| (m.name.clone(), m.link.clone())).collect();
+            let links = fleet
+                .members
+                .iter()
+                .map(|m| (m.name.clone(), PathBuf::from(&m.socket), m.link.clone()))
+                .collect();
             let own = fleet.clone();
             keeper.start(links, taken, move || own.tier());
             keeper
@@ -139,7 +144,7 @@
                 News::Up(welcome) => {
                     lock(&member.state).0.clear();
                     self.welcomed(&welcome);
-                    eprintln!("frostagent: gatekeeper {name} is linked, number {}", welcome.me);
+                    tracing::info!(instance = name, "gatekeeper {name} is linked, number {}", welcome.me);
                     self.count_up();
                     if let Some(keeper) = &keeper {
                         keeper.up(k, &welcome).await;
@@ -147,10 +152,12 @@
                 }
                 News::Down(why) => {
                     if let Some(keeper) = &keeper {
-                        keeper.down(k);
+                        keeper.down(k).await;
                     }
-                    eprintln!(
-                        "frostagent: gatekeeper {name} is not linked: {why}; checks go to others of each shop's \
+                    tracing::warn!(
+                        instance = name,
+                        reason = why,
+                        "gatekeeper {name} is not linked: {why}; checks go to others of each shop's \
                          set, or by the failure mode; connecting again"
                     );
                     *lock(&member.state) = (why, None);
@@ -165,6 +172,11 @@
                         keeper.batch(k, batch);
                     }
                 }
+                News::Reported(number) => {
+                    if let Some(keeper) = &keeper {
+                        keeper.reported(k, number);
+                    }
+                }
                 News::Levels(levels) => {
                     if let Some(keeper) = &keeper {
                         keeper.levels(k, &levels);
@@ -172,13 +184,16 @@
                 }
                 News::Plans(taken) => {
                     if !taken.error.is_empty() {
-                        eprintln!("frostagent: {name} keeps the plans it has: {}", taken.error);
+                        tracing::warn!(
+                            instance = name,
+                            revision = taken.revision,
+                            reason = taken.error,
+                            "{name} keeps the plans it has"
+                        );
                     }
                     if !taken.unknown.is_empty() {
                         let unknown = taken.unknown.join(", ");
-                        eprintln!(
-                            "frostagent: {name} has no place for these plans in its settings: {unknown}"
-                        );
+                        tracing::warn!("{name} has no place for these plans in its settings: {unknown}");
                     }
                     let known = self.tier();
                     let tier = Tier { plans: plans(&taken.plans), ..(*known).clone() };
@@ -187,10 +202,7 @@
                     }
                 }
                 News::State(state) => {
-                    eprintln!(
-                        "frostagent: {name}: the breaker before the outside service is {}",
-                        word(&state)
-                    );
+                    tracing::info!("{name}: the breaker before the outside service is {}", word(&state));
                     lock(&member.state).1 = Some(state);
                 }
                 News::Outside(ask) => match &outside {
@@ -207,18 +219,11 @@
     }
 
     fn welcomed(&self, welcome: &Welcome) {
-        let tier = Tier {
-            gateways: welcome.gateways,
-            plans: plans(&welcome.plans),
-            classes: welcome.classes.clone(),
-            largest_milli: welcome.largest_milli,
-        };
+        let tier = tier_of(welcome);
         let mut known = self.tier.write().unwrap_or_else(PoisonError::into_inner);
         if **known != tier {
             if known.gateways > 0 {
-                eprintln!(
-                    "frostagent: the gatekeepers' settings differ; those of the one linked last are used"
-                );
+                tracing::warn!("the gatekeepers' settings differ; those of the one linked last are used");
             }
             *known = Arc::new(tier);
         }
@@ -328,6 +333,16 @@
     }
 }
 
+/// What a gatekeeper's welcome says of the tier.
+pub(crate) fn tier_of(welcome: &Welcome) -> Tier {
+    Tier {
+        gateways: welcome.gateways,
+        plans: plans(&welcome.plans),
+        classes: welcome.classes.clone(),
+        largest_milli: welcome.largest_milli,
+    }
+}
+
 /// The plans by name, as a gatekeeper told them.
 fn plans(told: &[PlanWord]) -> std::collections::BTreeMap<String, Plan> {
     let plan = |(k, p): (usize, &PlanWord)| {
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -18,6 +18,12 @@
     /// Says whether the configuration is sound, and ends.
     #[arg(long)]
     check: bool,
+    /// How log lines are written: `text`, or `json`, one object a line.
+    #[arg(long, value_name = "FORMAT", default_value = "text")]
+    log_format: frostvale_log::Format,
+    /// Which are: a level, or levels by target, as in `info,frostvale_agent::rls=debug`.
+    #[arg(long, value_name = "LEVELS", default_value = "info")]
+    log_level: String,
 }
 
 fn main() -> ExitCode {
@@ -30,11 +36,17 @@
         println!("frostagent: the configuration is sound");
         return ExitCode::SUCCESS;
     }
+    let (who, format) = (("agent", config.name.as_str()), args.log_format);
+    if let Err(what) = frostvale_log::init("frostagent", who, format, &args.log_level) {
+        return failed(&what);
+    }
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return failed(&format!("cannot start the runtime: {e}")),
     };
-    match runtime.block_on(run(config)) {
+    let ended = runtime.block_on(run(config));
+    frostvale_log::end();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => failed(&what),
     }
@@ -51,9 +63,15 @@
     let (stop, stopped) = watch::channel(false);
     let name = config.name.clone();
     let ready = |at: Option<std::net::SocketAddr>| match at {
-        Some(at) => eprintln!("frostagent: {name} serves rate limits at {at}"),
-        None => eprintln!("frostagent: {name} runs, with no rate limit service"),
+        Some(at) => tracing::info!("{name} serves rate limits at {at}"),
+        None => tracing::info!("{name} runs, with no rate limit service"),
     };
+    tokio::spawn(async {
+        loop {
+            tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+            frostvale_log::turn();
+        }
+    });
     let served = serve::run(config, stopped, ready);
     tokio::pin!(served);
     tokio::select! {
@@ -61,9 +79,13 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    eprintln!("frostagent: stops; calls in hand are answered first");
+    tracing::info!(
+        "stops: calls in hand are answered, and the last words of its gatekeepers taken; a second signal ends it at once"
+    );
     let _ = stop.send(true);
-    // A caller that never closes its connection must not keep it here.
-    let _ = tokio::time::timeout(std::time::Duration::from_secs(2), served).await;
-    Ok(())
+    tokio::select! {
+        ended = served => ended,
+        _ = term.recv() => Ok(()),
+        _ = int.recv() => Ok(()),
+    }
 }
--- a/crates/agent/src/record.rs
+++ b/crates/agent/src/record.rs
@@ -4,6 +4,8 @@
 //! which is a file of this host; it goes to the database when that can be reached. Decisions are `frostvale-record`'s:
 //! when to send (`upload`), and what a gatekeeper that comes back may be given (`restore`).
 
+mod ends;
+
 use crate::config;
 use frostvale_checks::Tier;
 use frostvale_link::agent::Link;
@@ -15,7 +17,8 @@
 use frostvale_record::upload::{Next, Settings, Tell, Upload};
 use frostvale_record::{Backend, Error, Op, Reply};
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{Notify, mpsc};
@@ -55,14 +58,30 @@
     down_ms: i64,
     last_seq: i64,
     last_to_ms: i64,
+    /// How far its batches went when it answered this agent's bye.
+    reported: Option<i64>,
     levels: HashMap<u64, Level>,
     dirty: HashSet<u64>,
 }
 
 struct Member {
     name: String,
+    socket: PathBuf,
     link: Link,
     life: Mutex<Life>,
+    /// Lives whose last words were taken up from files, until the gatekeeper begins its next.
+    left: Mutex<Vec<Life>>,
+}
+
+/// A store's level as the record has it, heard at this time.
+fn level(l: &LevelWord, at_ms: i64) -> Level {
+    Level {
+        key: i64::try_from(l.key).unwrap_or(i64::MAX),
+        plan: i64::from(l.plan),
+        store_milli: i64::try_from(l.store_milli).unwrap_or(i64::MAX),
+        ceiling_milli: l.ceiling_milli,
+        at_ms,
+    }
 }
 
 /// A batch as it came: from which gatekeeper, and in which of its lives.
@@ -90,6 +109,10 @@
     landed: AtomicU64,
     gap_count: AtomicU64,
     pushed: AtomicI64,
+    /// Batches that came and are not in the spool yet.
+    taking: AtomicUsize,
+    taking_up: tokio::sync::Mutex<()>,
+    said_left: Mutex<Option<Instant>>,
 }
 
 impl Keeper {
@@ -131,6 +154,9 @@
             landed: AtomicU64::new(0),
             gap_count: AtomicU64::new(0),
             pushed: AtomicI64::new(-1),
+            taking: AtomicUsize::new(0),
+            taking_up: tokio::sync::Mutex::default(),
+            said_left: Mutex::default(),
         };
         Ok((Arc::new(keeper), taken))
     }
@@ -138,15 +164,25 @@
     /// Begins, over these gatekeepers.
     pub fn start(
         self: &Arc<Self>,
-        members: Vec<(String, Link)>,
+        members: Vec<(String, PathBuf, Link)>,
         taken: mpsc::Receiver<Came>,
         tier: impl Fn() -> Arc<Tier> + Send + Sync + 'static,
     ) {
-        let member = |(name, link)| Member { name, link, life: Mutex::default() };
+        let member = |(name, socket, link)| {
+            let (life, left) = (Mutex::default(), Mutex::default());
+            Member { name, socket, link, life, left }
+        };
         let _ = self.members.set(members.into_iter().map(member).collect());
         let tier = Arc::new(tier);
         tokio::spawn(self.clone().take_in(taken, tier));
         tokio::spawn(self.clone().send_on());
+        // Gatekeepers that are gone for good may have left their words too.
+        let keeper = self.clone();
+        tokio::spawn(async move {
+            for k in 0..keeper.members.get().map_or(0, Vec::len) {
+                keeper.take_left(k).await;
+            }
+        });
         tokio::spawn(self.clone().look());
     }
 
@@ -162,25 +198,26 @@
     fn tell(&self, told: Vec<Tell>) {
         for tell in told {
             match tell {
-                Tell::Away { why } => eprintln!(
-                    "frostagent: the record is away: {why}; gatekeepers go on with what they know, use waits in the \
+                Tell::Away { why } => tracing::warn!(
+                    reason = why,
+                    "the record is away: {why}; gatekeepers go on with what they know, use waits in the \
                      spool; trying again"
                 ),
                 Tell::Back { after_ms } => {
-                    eprintln!("frostagent: the record is back after {:.1} s", after_ms / 1000.0);
+                    tracing::info!("the record is back after {:.1} s", after_ms / 1000.0);
                 }
-                Tell::Fills { bytes } => eprintln!(
-                    "frostagent: the spool holds {} KB and fills; once full, use stays in the gatekeepers, and one \
+                Tell::Fills { bytes } => tracing::warn!(
+                    "the spool holds {} KB and fills; once full, use stays in the gatekeepers, and one \
                      that is killed then loses its own: bring the record back or raise record.spool_mb",
                     bytes / 1024
                 ),
-                Tell::Full => eprintln!(
-                    "frostagent: the spool is full: from now on use stays in the gatekeepers, and one that is killed \
+                Tell::Full => tracing::warn!(
+                    "the spool is full: from now on use stays in the gatekeepers, and one that is killed \
                      loses what it holds; nothing is lost yet"
                 ),
-                Tell::Room => eprintln!("frostagent: the spool has room again"),
-                Tell::Stale { age_ms } => eprintln!(
-                    "frostagent: plans and overrides were last read {:.0} s ago; they stay in effect",
+                Tell::Room => tracing::info!("the spool has room again"),
+                Tell::Stale { age_ms } => tracing::info!(
+                    "plans and overrides were last read {:.0} s ago; they stay in effect",
                     age_ms / 1000.0
                 ),
             }
@@ -211,62 +248,75 @@
         let Some(epoch_ms) = self.member(k).map(|m| lock(&m.life).epoch_ms).filter(|e| *e != 0) else {
             return;
         };
-        let _ = self.intake.try_send(Came { member: k, epoch_ms, batch });
+        self.taking.fetch_add(1, Ordering::AcqRel);
+        if self.intake.try_send(Came { member: k, epoch_ms, batch }).is_err() {
+            self.taking.fetch_sub(1, Ordering::AcqRel);
+        }
     }
 
     async fn take_in(self: Arc<Self>, mut taken: mpsc::Receiver<Came>, tier: Arc<impl Fn() -> Arc<Tier>>) {
         let mut all = Vec::with_capacity(AT_ONCE);
-        while taken.recv_many(&mut all, AT_ONCE).await > 0 {
-            let tier = tier();
-            let mut batches = Vec::new();
-            let mut from = Vec::new();
-            let mut size = 0;
-            for Came { member: k, epoch_ms, batch: word } in all.drain(..) {
-                let Some(batch) = self.read(k, epoch_ms, &word, &tier) else { continue };
-                let bytes = Spool::size(&batch);
-                if !lock(&self.upload).may_spool(size + bytes) {
-                    continue;
-                }
-                size += bytes;
-                from.push((k, epoch_ms, word.seq, bytes, batch.to_ms, word.last));
-                batches.push(batch);
+        loop {
+            let came = taken.recv_many(&mut all, AT_ONCE).await;
+            if came == 0 {
+                return;
             }
-            let told = lock(&self.upload).tell();
-            self.tell(told);
-            if batches.is_empty() {
+            let tier = tier();
+            self.take_batches(&mut all, &tier).await;
+            self.taking.fetch_sub(came, Ordering::AcqRel);
+        }
+    }
+
+    /// Puts batches into the spool, and then acknowledges them.
+    async fn take_batches(&self, all: &mut Vec<Came>, tier: &Tier) {
+        let mut batches = Vec::new();
+        let mut from = Vec::new();
+        let mut size = 0;
+        for Came { member: k, epoch_ms, batch: word } in all.drain(..) {
+            let Some(batch) = self.read(k, epoch_ms, &word, tier) else { continue };
+            let bytes = Spool::size(&batch);
+            if !lock(&self.upload).may_spool(size + bytes) {
                 continue;
             }
-            match self.spool.put(batches).await {
-                Ok(new) => {
-                    let mut kept: HashMap<(usize, i64), Vec<u64>> = HashMap::new();
-                    for ((k, epoch_ms, seq, bytes, to_ms, last), new) in from.into_iter().zip(new) {
-                        if new {
-                            lock(&self.upload).spooled(bytes);
-                        }
-                        kept.entry((k, epoch_ms)).or_default().push(seq);
-                        if let Some(member) = self.member(k) {
-                            let mut life = lock(&member.life);
-                            if life.epoch_ms != epoch_ms {
-                                continue;
-                            }
-                            life.last_seq = life.last_seq.max(i64::try_from(seq).unwrap_or(i64::MAX));
-                            life.last_to_ms = life.last_to_ms.max(to_ms);
-                            life.ended |= last;
-                        }
+            size += bytes;
+            from.push((k, epoch_ms, word.seq, bytes, batch.to_ms, word.last));
+            batches.push(batch);
+        }
+        let told = lock(&self.upload).tell();
+        self.tell(told);
+        if batches.is_empty() {
+            return;
+        }
+        match self.spool.put(batches).await {
+            Ok(new) => {
+                let mut kept: HashMap<(usize, i64), Vec<u64>> = HashMap::new();
+                for ((k, epoch_ms, seq, bytes, to_ms, last), new) in from.into_iter().zip(new) {
+                    if new {
+                        lock(&self.upload).spooled(bytes);
                     }
-                    for ((k, epoch_ms), numbers) in kept {
-                        if let Some(member) = self.member(k) {
-                            member.link.use_kept(u64::try_from(epoch_ms).unwrap_or(0), numbers);
+                    kept.entry((k, epoch_ms)).or_default().push(seq);
+                    if let Some(member) = self.member(k) {
+                        let mut life = lock(&member.life);
+                        if life.epoch_ms != epoch_ms {
+                            continue;
                         }
+                        life.last_seq = life.last_seq.max(i64::try_from(seq).unwrap_or(i64::MAX));
+                        life.last_to_ms = life.last_to_ms.max(to_ms);
+                        life.ended |= last;
                     }
-                    let told = lock(&self.upload).tell();
-                    self.tell(told);
-                    self.wake.notify_one();
                 }
-                Err(e) => {
-                    eprintln!("frostagent: the spool takes nothing: {e}; use stays in the gatekeepers");
-                    sleep(Duration::from_millis(500)).await;
+                for ((k, epoch_ms), numbers) in kept {
+                    if let Some(member) = self.member(k) {
+                        member.link.use_kept(u64::try_from(epoch_ms).unwrap_or(0), numbers);
+                    }
                 }
+                let told = lock(&self.upload).tell();
+                self.tell(told);
+                self.wake.notify_one();
+            }
+            Err(e) => {
+                tracing::warn!("the spool takes nothing: {e}; use stays in the gatekeepers");
+                sleep(Duration::from_millis(500)).await;
             }
         }
     }
@@ -354,22 +404,16 @@
             if life.levels.len() >= LEVELS_MOST && !life.levels.contains_key(&l.key) {
                 continue;
             }
-            let level = Level {
-                key: i64::try_from(l.key).unwrap_or(i64::MAX),
-                plan: i64::from(l.plan),
-                store_milli: i64::try_from(l.store_milli).unwrap_or(i64::MAX),
-                ceiling_milli: l.ceiling_milli,
-                at_ms,
-            };
-            life.levels.insert(l.key, level);
+            life.levels.insert(l.key, level(l, at_ms));
             life.dirty.insert(l.key);
         }
     }
 
-    /// A gatekeeper has gone.
-    pub fn down(&self, k: usize) {
+    /// A gatekeeper has gone. If it left its last word in a file, that is taken up now.
+    pub async fn down(&self, k: usize) {
         if let Some(member) = self.member(k) {
             lock(&member.life).down_ms = unix_ms();
+            self.take_left(k).await;
         }
     }
 
@@ -377,11 +421,11 @@
     pub async fn up(&self, k: usize, welcome: &Welcome) {
         let Some(member) = self.member(k) else { return };
         let epoch_ms = i64::try_from(welcome.started_ms).unwrap_or(i64::MAX);
-        if lock(&member.life).epoch_ms == 0 {
-            // This agent has only now begun: the database may know the former life.
-            if let Ok(Some(former)) = timeout(ASK_FOR, self.former(&member.name)).await {
-                *lock(&member.life) = former;
-            }
+        if lock(&member.life).epoch_ms != epoch_ms {
+            self.take_left(k).await;
+            // Database, spool and files may each know more of the former life than this agent.
+            let former = self.former_life(member, epoch_ms).await;
+            *lock(&member.life) = former;
         }
         let now_ms = unix_ms();
         let (levels, gap) = {
@@ -432,18 +476,22 @@
             (levels, gap)
         };
         if !levels.is_empty() {
-            eprintln!(
-                "frostagent: {}: {} stores are restored from its former life",
+            tracing::info!(
+                instance = member.name,
+                "{}: {} stores are restored from its former life",
                 member.name,
                 levels.len()
             );
             member.link.levels(&levels);
         }
         if let Some(gap) = gap {
-            eprintln!(
-                "frostagent: {}: its former life ended without its last word; use from {} to {} ms (Unix time) that \
+            tracing::warn!(
+                instance = gap.instance,
+                "{}: its former life ended without its last word; use from {} to {} ms (Unix time) that \
                  it had not reported is not known, and not guessed",
-                gap.instance, gap.from_ms, gap.to_ms
+                gap.instance,
+                gap.from_ms,
+                gap.to_ms
             );
             self.gap_count.fetch_add(1, Ordering::Relaxed);
             lock(&self.gaps).push(gap);
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -27,7 +27,10 @@
 /// A connection over which nothing comes is tested this often, and closed after as long again.
 const ALIVE: Duration = Duration::from_secs(20);
 
-/// Runs until `stop` says so.
+/// Calls in hand at a stop are answered within this time, or not at all.
+const CALLS_END: Duration = Duration::from_secs(2);
+
+/// Runs until `stop` says so, then takes the last words of its gatekeepers.
 ///
 /// # Errors
 /// With one line on what can't be used.
@@ -60,7 +63,7 @@
             name: config.name.clone(),
             fleet: fleet.clone(),
             counts: service.counts(),
-            keeper,
+            keeper: keeper.clone(),
             outside,
         };
         let mut stop = stop.clone();
@@ -71,19 +74,38 @@
                     let _ = stop.wait_for(|stop| *stop).await;
                 });
             if let Err(e) = served.await {
-                eprintln!("frostagent: the control socket has failed: {e}; checks go on");
+                tracing::warn!("the control socket has failed: {e}; checks go on");
             }
         });
     }
     let at = listener.as_ref().and_then(|l| l.local_addr().ok());
     ready(at);
-    match (listener, rls) {
-        (Some(listener), Some(_)) => serve_rls(listener, tls, service, fleet, stop).await,
+    let served = match (listener, rls) {
+        (Some(listener), Some(_)) => {
+            let mut stopped = stop.clone();
+            let served = serve_rls(listener, tls, service, fleet, stop);
+            tokio::pin!(served);
+            tokio::select! {
+                ended = &mut served => ended,
+                // A caller that never closes its connection must not keep it here.
+                () = async {
+                    let _ = stopped.wait_for(|stop| *stop).await;
+                    tokio::time::sleep(CALLS_END).await;
+                } => Ok(()),
+            }
+        }
         _ => {
             let _ = stop.wait_for(|stop| *stop).await;
             Ok(())
         }
+    };
+    // Calls in hand may still have been charged: last words come after them.
+    if let Some(keeper) = keeper
+        && served.is_ok()
+    {
+        keeper.stop().await;
     }
+    served
 }
 
 async fn serve_rls(
--- /dev/null
+++ b/crates/agent/tests/kept/mod.rs
@@ -0,0 +1,211 @@
+//! A record, a town over it and load, for the tests of what is kept.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use frostvale_proto::agent::{Record, StatusRequest};
+use frostvale_record::{Backend, Op, Place, Reply};
+use frostvale_standin::formula::Options;
+use frostvale_standin::load::{Pool, Shop};
+use frostvale_standin::postgres::{Login, Postgres};
+use frostvale_standin::resp::Answer;
+use frostvale_standin::town::{Plan, Town};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+pub const SHOP: &str = "00000000b4d65521";
+pub const WAIT: Duration = Duration::from_millis(900);
+pub const LONG: Duration = Duration::from_secs(30);
+pub const PASSWORD: &str = "sesame";
+
+pub fn plans() -> Value {
+    json!([
+        {"Name": "wide", "UnitsPerS": 1e5, "PeakUnits": 1e5, "ValueFactor": 1.0},
+        {"Name": "ten", "UnitsPerS": 0.01, "PeakUnits": 10.0, "ValueFactor": 1.0},
+        {"Name": "capped", "ValueFactor": 1.0, "CapRate": 20.0, "CapDepth": 20.0, "CeilingSlack": 4.0},
+    ])
+}
+
+/// A database of a test, and the town over it.
+pub struct Kept {
+    pub folder: tempfile::TempDir,
+    pub server: Option<Postgres>,
+    pub place: Place,
+}
+
+impl Kept {
+    pub fn sqlite() -> Kept {
+        let folder = tempfile::tempdir().expect("a folder");
+        let place = Place::new(&format!("sqlite:{}", folder.path().join("record.db").display()));
+        Kept { folder, server: None, place }
+    }
+
+    pub async fn postgres() -> Kept {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("pg.db");
+        let server = Postgres::start(Ipv4Addr::LOCALHOST.into(), &file, PASSWORD, Login::Scram).await;
+        let server = server.expect("started");
+        let password = folder.path().join("password");
+        std::fs::write(&password, PASSWORD).expect("written");
+        let place = Place {
+            password_file: Some(password),
+            connect: Duration::from_millis(500),
+            statement: Duration::from_millis(1000),
+            ..Place::new(&format!("postgres://agent@{}/frostvale", server.at))
+        };
+        Kept { folder, server: Some(server), place }
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.server.as_ref().expect("a server").at
+    }
+
+    pub async fn restart_server(&mut self, at: SocketAddr) {
+        let server = Postgres::start_at(at, &self.path("pg.db"), PASSWORD, Login::Scram, None).await;
+        self.server = Some(server.expect("started"));
+    }
+
+    pub fn agent_extra(&self) -> String {
+        let password = self.place.password_file.as_ref();
+        let password = password.map_or(String::new(), |p| format!("password_file = {p:?}\n"));
+        format!(
+            "[record]\nurl = {:?}\n{password}spool = {:?}\nconnect_ms = 500\nstatement_ms = 1000\npoll_ms = 100\n",
+            self.place.url,
+            self.path("spool.db"),
+        )
+    }
+
+    pub async fn town(&self, gatekeepers: usize) -> Town {
+        self.town_under(gatekeepers, Vec::new()).await
+    }
+
+    /// With something in front of each program.
+    pub async fn town_under(&self, gatekeepers: usize, launcher: Vec<String>) -> Town {
+        let formula = Options { cores: 8, work: Duration::from_millis(2), queue: 1000, ..Options::default() };
+        Town::start(Plan {
+            gatekeepers,
+            servers: 3,
+            formula,
+            plans: Some(plans()),
+            gatekeeper_extra: "[usage]\nreport_ms = 50\n".into(),
+            agent_extra: self.agent_extra(),
+            launcher,
+            ..Plan::default()
+        })
+        .await
+        .expect("started")
+    }
+
+    /// A view of the database of its own.
+    pub async fn open(&self) -> Arc<dyn Backend> {
+        let backend = self.place.open().await.expect("opened");
+        backend.migrate().await.expect("migrated");
+        backend
+    }
+}
+
+/// Units by shop: passed and served.
+pub async fn ledger(backend: &dyn Backend) -> BTreeMap<String, (i64, i64)> {
+    let op = Op::Totals { shop: String::new(), from_ms: 0, to_ms: i64::MAX, most: 100_000 };
+    let totals = until("totals", async || match backend.run(op.clone()).await {
+        Ok(Reply::Totals(totals)) => Some(totals),
+        _ => None,
+    })
+    .await;
+    let mut all: BTreeMap<String, (i64, i64)> = BTreeMap::new();
+    for t in totals {
+        let entry = all.entry(t.shop).or_default();
+        entry.0 += t.passed_milli;
+        entry.1 += t.served_milli;
+    }
+    all
+}
+
+pub fn booked(town: &Town) -> BTreeMap<String, i64> {
+    town.units().into_iter().map(|(shop, units)| (shop, (units * 1000.0).round() as i64)).collect()
+}
+
+/// Looks again until it is so.
+pub async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(begun.elapsed() < LONG, "never {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn status(town: &Town) -> Option<Record> {
+    let mut agent = frostvale_agent::serve::control(&town.control).await.ok()?;
+    agent.status(StatusRequest {}).await.ok()?.into_inner().record
+}
+
+pub fn shop(k: u64, plan: &str) -> Shop {
+    Shop { id: format!("{:016x}", 0xb4d6_5521 + k), plan: plan.into(), first: 0, spread: 1 }
+}
+
+pub async fn served(pool: &Pool, shop: &Shop) -> bool {
+    match pool.ask(shop, "formula-read", None, 1, WAIT).await.expect("an answer") {
+        Answer::Served(_) => true,
+        Answer::Busy(_) => false,
+        Answer::Failed(line) => panic!("{line}"),
+    }
+}
+
+/// Load by RESP2 until it is stopped; what was served, by shop. A gatekeeper that is gone is asked again.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    served: Arc<AtomicU64>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Load {
+    pub fn start(town: &Town, clients: u64) -> Load {
+        let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let all: Vec<SocketAddr> = town.gatekeepers.iter().map(|g| g.resp).collect();
+        let client = |k: u64| {
+            let (stop, served) = (stop.clone(), served.clone());
+            let at = k as usize % all.len();
+            let pool = Pool::new(all[at]);
+            let shop = Shop { first: at as u32, ..shop(k, "wide") };
+            tokio::spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    match pool.ask(&shop, "formula-read", None, 1, WAIT).await {
+                        Ok(Answer::Served(_)) => drop(served.fetch_add(1, Ordering::Relaxed)),
+                        Ok(_) => {}
+                        Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                    }
+                }
+            })
+        };
+        let tasks = (0..clients).map(client).collect();
+        Load { stop, served, tasks }
+    }
+
+    pub fn count(&self) -> u64 {
+        self.served.load(Ordering::Relaxed)
+    }
+
+    pub async fn more(&self, n: u64) {
+        let than = self.count() + n;
+        until("served more", async || (self.count() >= than).then_some(())).await;
+    }
+
+    pub async fn stop(self) -> u64 {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            task.await.expect("ended");
+        }
+        self.served.load(Ordering::Relaxed)
+    }
+}
--- a/crates/ctl/src/dev.rs
+++ b/crates/ctl/src/dev.rs
@@ -1,16 +1,14 @@
 //! The whole town on one machine.
 
+use crate::load::{Playing, Shape, Show};
+use frostvale_load::report::Around;
 use frostvale_standin::formula::Options;
-use frostvale_standin::load::{Tallies, Tally, play};
 use frostvale_standin::postgres::{Login, Postgres};
 use frostvale_standin::town::{Plan, Town};
 use rustix::process::{Signal, getppid, set_parent_process_death_signal};
-use std::collections::BTreeMap;
-use std::io::{IsTerminal, Write};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::PoisonError;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{MissedTickBehavior, interval};
@@ -27,6 +25,10 @@
     /// Requests a second by RESP2 and gRPC together, up to 20000; without it nothing is played.
     #[arg(long, value_parser = clap::value_parser!(u32).range(1..=20_000))]
     load: Option<u32>,
+    #[command(flatten)]
+    shape: Shape,
+    #[command(flatten)]
+    show: Show,
     /// Written once all serve: where everything is, as JSON.
     #[arg(long, value_name = "FILE")]
     ready_file: Option<PathBuf>,
@@ -87,7 +89,7 @@
         agent_extra: format!("[record]\nurl = {url:?}\n{password}spool = {spool:?}\n"),
         gatekeepers: usize::from(args.gatekeepers),
         servers: usize::from(args.servers),
-        formula: Options { work: Duration::from_millis(20), ..Options::default() },
+        formula: Options { work: work(&args), ids: false, ..Options::default() },
         launcher,
         folder: Some(folder),
         ..Plan::default()
@@ -107,38 +109,81 @@
     if let Some(file) = &args.ready_file {
         write_whole(file, &town.ready().to_string())?;
     }
-    let tallies = Tallies::default();
-    let playing = args.load.map(|rate| {
-        let gatekeepers = town.gatekeepers.iter().map(|g| (g.number, g.resp)).collect();
-        let shops = town.shops(8, 2);
-        tokio::spawn(play(f64::from(rate), gatekeepers, Some(town.rls), shops, tallies.clone()))
-    });
+    let mut playing = match args.load {
+        Some(rate) => {
+            let gatekeepers = town.gatekeepers.iter().map(|g| g.resp).collect();
+            Some(Playing::start(f64::from(rate), &args.shape, &args.show, gatekeepers, Some(town.rls))?)
+        }
+        None => None,
+    };
     let mut tick = interval(Duration::from_secs(1));
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut shown = 0;
+    let begun = tokio::time::Instant::now();
+    let done = async {
+        match args.show.duration {
+            Some(seconds) => tokio::time::sleep_until(begun + Duration::from_secs(seconds.into())).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::pin!(done);
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
             _ = hup.recv() => break,
+            () = &mut done => break,
             _ = tick.tick() => {
-                mend(&mut town).await;
-                if playing.is_some() {
-                    let now = tallies.lock().unwrap_or_else(PoisonError::into_inner).clone();
-                    show(&now, &mut shown);
+                frostvale_log::turn();
+                // A signal ends the town also while something of it is being started.
+                tokio::select! {
+                    _ = term.recv() => break,
+                    _ = int.recv() => break,
+                    _ = hup.recv() => break,
+                    () = mend(&mut town) => {}
+                }
+                if let Some(playing) = &mut playing {
+                    let around = around(&town).await;
+                    playing.show(around);
                 }
             }
         }
     }
-    if let Some(playing) = playing {
-        playing.abort();
-    }
+    let reported = match playing {
+        Some(playing) => {
+            let around = around(&town).await;
+            playing.end(around).await
+        }
+        None => Ok(()),
+    };
     println!("frostctl: the town stops");
     town.stop().await;
     if let Some(file) = &args.ready_file {
         let _ = std::fs::remove_file(file);
     }
-    Ok(ExitCode::SUCCESS)
+    reported.map(|()| ExitCode::SUCCESS)
+}
+
+/// How long a formula takes: the fleet has half as much room again as the load wants.
+fn work(args: &Args) -> Duration {
+    let cores = Options::default().cores as f64 * f64::from(args.servers);
+    let room = cores / (1.5 * f64::from(args.load.unwrap_or(1)));
+    Duration::from_secs_f64(room.clamp(0.002, 0.020))
+}
+
+/// The state of servers, links and the record.
+async fn around(town: &Town) -> Around {
+    let work: Vec<(u64, u64)> = town.servers.iter().map(frostvale_standin::formula::Formula::work).collect();
+    let (most, least) = (work.iter().map(|w| w.1).max(), work.iter().map(|w| w.1).min());
+    let servers = format!(
+        "{} ready, {} in work, answered {} to {} each",
+        work.len(),
+        work.iter().map(|w| w.0).sum::<u64>(),
+        least.unwrap_or(0),
+        most.unwrap_or(0)
+    );
+    let mut all = vec![("servers".to_string(), servers)];
+    all.extend(crate::status::words(&town.control).await);
+    all
 }
 
 /// A folder that ends with the town.
@@ -209,24 +254,3 @@
     println!("  curl -s http://{}/v1/servers", town.discovery.at);
     println!("  curl -s -X POST 'http://{}/v1/count/mixes?add=1&ttl_ms=4000'", town.counter.at);
 }
-
-/// Shows the tallies by plan, over the last ones on a terminal.
-fn show(tallies: &BTreeMap<String, Tally>, shown: &mut usize) {
-    let mut text = String::new();
-    if std::io::stdout().is_terminal() && *shown > 0 {
-        text.push_str(&format!("\x1b[{shown}A\x1b[J"));
-    }
-    text.push_str(&format!(
-        "{:<14} {:>9} {:>9} {:>8} {:>9} {:>9} {:>8} {:>9}\n",
-        "plan", "served", "refused", "failed", "granted", "over", "errors", "units"
-    ));
-    for (plan, t) in tallies {
-        text.push_str(&format!(
-            "{plan:<14} {:>9} {:>9} {:>8} {:>9} {:>9} {:>8} {:>9}\n",
-            t.served, t.refused, t.failed, t.granted, t.over, t.errors, t.units
-        ));
-    }
-    *shown = tallies.len() + 1;
-    let mut out = std::io::stdout().lock();
-    let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
-}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod dev;
+mod load;
 mod record;
 mod status;
 
@@ -14,12 +15,20 @@
 struct Args {
     #[command(subcommand)]
     command: Command,
+    /// How log lines on standard error are written: `text`, or `json`, one object a line.
+    #[arg(long, global = true, value_name = "FORMAT", default_value = "text")]
+    log_format: frostvale_log::Format,
+    /// Which are: a level, or levels by target.
+    #[arg(long, global = true, value_name = "LEVELS", default_value = "info")]
+    log_level: String,
 }
 
 #[derive(Subcommand)]
 enum Command {
     /// Runs a whole town on this machine: formula servers, discovery, counter, gatekeepers and an agent.
     Dev(dev::Args),
+    /// Plays load on a running town by RESP2 and gRPC, and reports what came of it.
+    Load(load::Args),
     /// Asks an agent how its gatekeepers, its calls and the outside service do.
     Status(status::Args),
     /// Asks the rate limit service whether a shop may have units, as a web store does. Exit code 5: over the limit.
@@ -35,16 +44,22 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
+    if let Err(what) = frostvale_log::init("frostctl", ("host", ""), args.log_format, &args.log_level) {
+        eprintln!("frostctl: {what}");
+        return ExitCode::FAILURE;
+    }
     let ended = match args.command {
         Command::WithParent(args) => dev::with_parent(&args),
         Command::Dev(args) => block_on(dev::run(args)),
+        Command::Load(args) => block_on(load::run(args)),
         Command::Record(args) => block_on(record::run(args)),
         Command::Status(args) => block_on(status::run(args)),
         Command::Check(args) => block_on(ask::check(args)),
         Command::Ask(args) => block_on(ask::ask(args)),
     };
+    frostvale_log::end();
     ended.unwrap_or_else(|what| {
-        eprintln!("frostctl: {what}");
+        tracing::error!("{what}");
         ExitCode::FAILURE
     })
 }
--- a/crates/ctl/src/record.rs
+++ b/crates/ctl/src/record.rs
@@ -154,7 +154,7 @@
     match done {
         Ok(()) => Ok(ExitCode::SUCCESS),
         Err(e @ (Error::Conflict { .. } | Error::Invalid(_))) => {
-            eprintln!("frostctl: {e}");
+            tracing::error!("{e}");
             Ok(ExitCode::from(REFUSED))
         }
         Err(e) => Err(e.to_string()),
@@ -306,7 +306,7 @@
         }
     }
     if all.len() as i64 == ROWS {
-        eprintln!("frostctl: these are the first {ROWS} rows; narrow it with --shop, --from-ms and --to-ms");
+        tracing::warn!("these are the first {ROWS} rows; narrow it with --shop, --from-ms and --to-ms");
     }
     Ok(())
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -39,6 +39,38 @@
     Ok(if all { ExitCode::SUCCESS } else { ExitCode::from(PARTLY) })
 }
 
+/// Links and record in a word each, for a view.
+pub async fn words(socket: &std::path::Path) -> Vec<(String, String)> {
+    let status = async {
+        let mut agent = control(socket).await?;
+        agent.status(StatusRequest {}).await.map_err(|e| e.message().to_string())
+    };
+    // A view does not stand still for an agent that hangs.
+    let status = match tokio::time::timeout(std::time::Duration::from_millis(300), status).await {
+        Ok(Ok(status)) => status.into_inner(),
+        Ok(Err(_)) => return vec![("link".into(), "no agent answers".into())],
+        Err(_) => return vec![("link".into(), "the agent is silent".into())],
+    };
+    let linked = status.gatekeepers.iter().filter(|g| g.state == "linked").count();
+    let calls = status.calls.unwrap_or_default();
+    let mut all = vec![(
+        "link".to_string(),
+        format!(
+            "{linked} of {} gatekeepers; {} checks undecided",
+            status.gatekeepers.len(),
+            calls.undecided_allowed + calls.undecided_denied
+        ),
+    )];
+    if let Some(r) = status.record {
+        let word = format!(
+            "{} {}, {} batches landed, {} in the spool, {} gaps",
+            r.kind, r.state, r.landed, r.spool_batches, r.gaps
+        );
+        all.push(("record".into(), word));
+    }
+    all
+}
+
 fn table(status: &StatusResponse) {
     println!("agent {}: {} shops' sets known", status.name, status.sets);
     println!(
--- a/crates/link/src/agent.rs
+++ b/crates/link/src/agent.rs
@@ -78,6 +78,8 @@
     Levels(Vec<Level>),
     /// What came of plans.
     Plans(PlansTaken),
+    /// After [`Link::bye`]: use until then is in the batches up to this number.
+    Reported(u64),
 }
 
 enum Order {
@@ -87,6 +89,7 @@
     UseKept(UseKept),
     Plans(Plans),
     Levels(Vec<Level>),
+    Bye,
 }
 
 struct Shared {
@@ -184,6 +187,18 @@
         }
     }
 
+    /// Says that this agent stops. The gatekeeper reports its use so far; how far that goes comes as
+    /// [`News::Reported`].
+    pub fn bye(&self) {
+        let _ = self.orders.try_send(Order::Bye);
+    }
+
+    /// Whether the gatekeeper has said that it stops.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.shared.stopping.load(Ordering::Relaxed)
+    }
+
     /// What an outside service said.
     pub fn verdict(&self, verdict: OutsideVerdict) {
         let _ = self.orders.try_send(Order::Verdict(verdict));
@@ -351,6 +366,7 @@
                 Order::Verdict(verdict) => frame.outside.push(verdict),
                 Order::UseKept(numbers) => frame.use_kept.push(numbers),
                 Order::Plans(plans) => frame.plans = Some(plans),
+                Order::Bye => frame.bye = "the agent stops".into(),
                 // These fill a frame by themselves.
                 Order::Levels(levels) => {
                     let alone = ToNode { levels, ..ToNode::default() };
@@ -418,6 +434,9 @@
         if let Some(taken) = frame.plans_taken {
             let _ = self.news.try_send(News::Plans(taken));
         }
+        if let Some(number) = frame.reported {
+            let _ = self.news.try_send(News::Reported(number));
+        }
     }
 
     /// Tells all that wait what became of theirs.
--- a/crates/link/src/node.rs
+++ b/crates/link/src/node.rs
@@ -49,6 +49,8 @@
     fn plans(&self, peer: &Rc<Peer>, plans: Plans);
     /// What stores held in a former life.
     fn levels(&self, peer: &Rc<Peer>, levels: &[Level]);
+    /// The agent stops: use so far is reported to it, and then [`Peer::reported`].
+    fn agent_stops(&self, peer: &Rc<Peer>);
     /// The agent has gone, or was cut off. `why` is there where it is worth a line in the log.
     fn left(&self, peer: &Rc<Peer>, why: Option<String>);
 }
@@ -129,6 +131,11 @@
         self.push(64 * taken.plans.len() + taken.error.len(), |next| next.plans_taken = Some(taken));
     }
 
+    /// Tells an agent that stops how far the batches go that were reported.
+    pub fn reported(&self, number: u64) {
+        self.push(0, |next| next.reported = Some(number));
+    }
+
     /// What the agent has not taken, in bytes, about.
     #[must_use]
     pub fn unread(&self) -> usize {
@@ -336,6 +343,7 @@
     use_kept: Vec<UseKept>,
     plans: Option<Plans>,
     levels: std::vec::IntoIter<Level>,
+    bye: bool,
 }
 
 impl Work {
@@ -347,6 +355,7 @@
             use_kept: frame.use_kept,
             plans: frame.plans,
             levels: frame.levels.into_iter(),
+            bye: !frame.bye.is_empty(),
         }
     }
 
@@ -379,6 +388,11 @@
             host.check(peer, check);
             done += 1;
         }
+        // After all else that came with it.
+        if done == 0 && std::mem::take(&mut self.bye) {
+            host.agent_stops(peer);
+            done += 1;
+        }
         done > 0
     }
 }
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,206 @@
+//! What is told of a load: lines as it goes on, a text at the end, JSON, and one HTML page that needs nothing beside it.
+
+use crate::tally::{End, PROTOCOLS, Second, Tally};
+use plotters::prelude::*;
+use serde_json::Value;
+use std::fmt::Write;
+
+/// What is known of the town beside the load, each as a name and a word on it.
+pub type Around = Vec<(String, String)>;
+
+/// One line on the last second, for logs and pipes.
+#[must_use]
+pub fn line(at: usize, seconds: &[Second; 2], around: &Around) -> String {
+    let mut text = format!("{at:>5} s");
+    for (name, s) in PROTOCOLS.iter().zip(seconds) {
+        let _ = write!(
+            text,
+            "  {name} {}/s served, {}/s refused, {}/s failed, p50 {:.1} ms, p99 {:.1} ms",
+            s.served, s.refused, s.failed, s.p50, s.p99
+        );
+    }
+    for (name, word) in around {
+        let _ = write!(text, "  {name} {word}");
+    }
+    text
+}
+
+/// The view on a terminal: the last second, all so far, and what stands around it.
+#[must_use]
+pub fn view(at: usize, seconds: &[Second; 2], tally: &Tally, plans: &[String], around: &Around) -> String {
+    let mut text = format!(
+        "{at:>6} s     {:>9} {:>9} {:>9} {:>10} {:>10} {:>9}\n",
+        "served/s", "refused/s", "failed/s", "p50 ms", "p99 ms", "retries"
+    );
+    for ((name, s), p) in PROTOCOLS.iter().zip(seconds).zip(&tally.protocols) {
+        let _ = writeln!(
+            text,
+            "{name:<12} {:>9} {:>9} {:>9} {:>10.1} {:>10.1} {:>9}",
+            s.served, s.refused, s.failed, s.p50, s.p99, p.retries
+        );
+    }
+    let _ = writeln!(text, "{:<12} {:>9} {:>9} {:>9} {:>10}", "plan", "served", "refused", "granted", "over");
+    for (name, p) in plans.iter().zip(&tally.plans) {
+        let _ = writeln!(text, "{name:<12} {:>9} {:>9} {:>9} {:>10}", p.served, p.refused, p.granted, p.over);
+    }
+    text.push_str(&reasons(tally));
+    for (name, word) in around {
+        let _ = writeln!(text, "{name:<12} {word}");
+    }
+    text
+}
+
+fn reasons(tally: &Tally) -> String {
+    let mut text = String::new();
+    for (name, p) in PROTOCOLS.iter().zip(&tally.protocols) {
+        let all: Vec<String> = p
+            .ends
+            .iter()
+            .filter(|(end, _)| **end != End::Served)
+            .map(|(end, n)| format!("{} {n}", end.name()))
+            .collect();
+        if !all.is_empty() {
+            let _ = writeln!(text, "{name:<12} {}", all.join("; "));
+        }
+    }
+    text
+}
+
+/// The text at the end.
+#[must_use]
+pub fn text(tally: &Tally, plans: &[String], around: &Around) -> String {
+    let mut text = format!(
+        "{} requests in {} s: {:.1} in 100 served or granted\n",
+        tally.answers(0) + tally.answers(1),
+        tally.seconds.len(),
+        100.0 * tally.served_part()
+    );
+    let json = tally.json(plans);
+    for name in PROTOCOLS {
+        let p = &json["protocols"][name];
+        let ms = |q: &str| p["ms"][q].as_f64().unwrap_or(0.0);
+        let _ = writeln!(
+            text,
+            "{name:<12} p50 {:.1} ms, p90 {:.1}, p99 {:.1}, p99.9 {:.1}, longest {:.1}; {} retries; {}",
+            ms("p50"),
+            ms("p90"),
+            ms("p99"),
+            ms("p999"),
+            ms("max"),
+            p["retries"],
+            counts(&p["answers"])
+        );
+    }
+    for name in plans {
+        let _ = writeln!(text, "{name:<12} {}", counts(&json["plans"][name]));
+    }
+    for (name, word) in around {
+        let _ = writeln!(text, "{name:<12} {word}");
+    }
+    text
+}
+
+fn counts(value: &Value) -> String {
+    let all = value.as_object().into_iter().flatten();
+    all.map(|(name, n)| format!("{name} {n}")).collect::<Vec<_>>().join(", ")
+}
+
+const WIDTH: u32 = 860;
+const HEIGHT: u32 = 240;
+
+/// A line of a plot: its name, colour and one value a second.
+type Curve<'a> = (&'a str, RGBColor, Vec<f64>);
+
+fn plot(title: &str, unit: &str, curves: &[Curve<'_>]) -> Result<String, String> {
+    let mut svg = String::new();
+    let count = curves.iter().map(|c| c.2.len()).max().unwrap_or(0).max(1) as f64;
+    let top = curves.iter().flat_map(|c| &c.2).copied().fold(1.0f64, f64::max) * 1.1;
+    let mut drawn = || -> Result<(), Box<dyn std::error::Error>> {
+        let area = SVGBackend::with_string(&mut svg, (WIDTH, HEIGHT)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 16))
+            .margin(6)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..count, 0.0..top)?;
+        chart.configure_mesh().x_desc("seconds").y_desc(unit).max_light_lines(1).draw()?;
+        for (name, colour, values) in curves {
+            let colour = *colour;
+            let points = values.iter().enumerate().map(|(k, v)| (k as f64, *v));
+            chart
+                .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour));
+        }
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw()?;
+        area.present()?;
+        Ok(())
+    };
+    drawn().map_err(|e| format!("a plot can't be drawn: {e}"))?;
+    Ok(svg)
+}
+
+/// One page with plots; it needs no other file and no network.
+///
+/// # Errors
+/// When a plot can't be drawn.
+pub fn html(title: &str, tally: &Tally, plans: &[String], around: &Around) -> Result<String, String> {
+    let of = |protocol: usize, value: fn(&Second) -> f64| -> Vec<f64> {
+        tally.seconds.iter().map(|s| value(&s[protocol])).collect()
+    };
+    let mut body = String::new();
+    for (k, name) in PROTOCOLS.iter().enumerate() {
+        let curves = [
+            ("served", RGBColor(0, 120, 60), of(k, |s| s.served as f64)),
+            ("refused", RGBColor(200, 130, 0), of(k, |s| s.refused as f64)),
+            ("failed", RGBColor(200, 30, 30), of(k, |s| s.failed as f64)),
+        ];
+        body.push_str(&plot(&format!("{name}: final answers"), "a second", &curves)?);
+        let curves = [
+            ("p50", RGBColor(40, 80, 180), of(k, |s| s.p50)),
+            ("p99", RGBColor(150, 40, 150), of(k, |s| s.p99)),
+        ];
+        body.push_str(&plot(&format!("{name}: time from when it was due"), "ms", &curves)?);
+    }
+    let text = escape(&text(tally, plans, around));
+    let data = tally.json(plans).to_string().replace('<', "\\u003c");
+    let title = escape(title);
+    Ok(format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\n\
+         <style>body{{font-family:sans-serif;max-width:900px;margin:2em auto}}pre{{background:#f4f4f4;padding:1em;\
+         overflow-x:auto}}</style></head>\n<body><h1>{title}</h1>\n<pre>{text}</pre>\n{body}\n\
+         <script type=\"application/json\" id=\"data\">{data}</script>\n</body></html>\n"
+    ))
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::schedule::Way;
+
+    #[test]
+    fn the_page_stands_alone_and_holds_the_figures() {
+        let mut tally = Tally::new(1);
+        for k in 0..50 {
+            tally.end(0, Way::Read, if k % 5 == 0 { End::Quota } else { End::Served }, 0.002);
+            if k % 10 == 9 {
+                tally.second();
+            }
+        }
+        let around = vec![("servers".to_string(), "3 <ready>".to_string())];
+        let page = html("a & b", &tally, &["tienda".into()], &around).expect("drawn");
+        assert_eq!(page.matches("<svg").count(), 4);
+        assert!(!page.contains("src=") && !page.contains("href=") && page.contains("3 &lt;ready&gt;"));
+        let data =
+            page.split("id=\"data\">").nth(1).and_then(|rest| rest.split("</script>").next()).expect("data");
+        let data: Value = serde_json::from_str(data).expect("JSON");
+        assert_eq!(data["plans"]["tienda"]["served"], 40);
+        assert_eq!(data["seconds"]["resp2"].as_array().expect("a list").len(), 5);
+        assert!(text(&tally, &["tienda".into()], &around).contains("80.0 in 100 served"));
+    }
+}
--- a/crates/proto/src/gen/frostvale.link.v1.rs
+++ b/crates/proto/src/gen/frostvale.link.v1.rs
@@ -19,6 +19,9 @@
     /// What stores held in a former life, as far as it may be used.
     #[prost(message, repeated, tag = "7")]
     pub levels: ::prost::alloc::vec::Vec<Level>,
+    /// The agent stops: use so far is to be reported, and then how far that goes.
+    #[prost(string, tag = "8")]
+    pub bye: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromNode {
@@ -43,6 +46,9 @@
     /// What came of plans that were sent.
     #[prost(message, optional, tag = "9")]
     pub plans_taken: ::core::option::Option<PlansTaken>,
+    /// The answer to an agent's bye: use until now is in the batches up to this number.
+    #[prost(uint64, optional, tag = "10")]
+    pub reported: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Hello {
--- a/crates/record/src/spool.rs
+++ b/crates/record/src/spool.rs
@@ -4,7 +4,7 @@
 use crate::error::Error;
 use crate::model::{Batch, Line};
 use crate::sqlite::{Sqlite, meaning};
-use rusqlite::Connection;
+use rusqlite::{Connection, OptionalExtension};
 use serde_json::{Value, json};
 use std::path::Path;
 
@@ -142,6 +142,25 @@
         rows.into_iter().map(one).collect()
     }
 
+    /// The last batch of an instance's latest life that waits here.
+    ///
+    /// # Errors
+    /// When the file can't be read.
+    pub async fn latest(&self, instance: &str) -> Result<Option<Batch>, Error> {
+        let instance = instance.to_string();
+        let text = self
+            .file
+            .with(move |c| {
+                let sql =
+                    "SELECT body FROM spool WHERE instance = ?1 ORDER BY epoch_ms DESC, seq DESC LIMIT 1";
+                let get =
+                    || c.prepare_cached(sql)?.query_row([instance], |r| r.get::<_, String>(0)).optional();
+                get().map_err(|e| meaning(&e))
+            })
+            .await?;
+        Ok(text.as_deref().and_then(read))
+    }
+
     /// Takes out what has landed.
     ///
     /// # Errors
--- a/crates/standin/src/formula.rs
+++ b/crates/standin/src/formula.rs
@@ -28,6 +28,8 @@
     pub cold_from: f64,
     /// Repeats of a keyed mix are dropped for so long.
     pub window: Duration,
+    /// Whether each command's id and key are booked: for tests. A town that runs for days does without.
+    pub ids: bool,
 }
 
 impl Default for Options {
@@ -39,6 +41,7 @@
             warm_within: Duration::from_secs(4),
             cold_from: 0.25,
             window: Duration::from_millis(2500),
+            ids: true,
         }
     }
 }
@@ -82,6 +85,7 @@
     /// What it does wrong.
     pub faults: Arc<Faults>,
     books: Arc<Mutex<Books>>,
+    state: Arc<State>,
     task: JoinHandle<()>,
     conns: Arc<Mutex<Vec<JoinHandle<()>>>>,
 }
@@ -136,7 +140,7 @@
             count: AtomicU64::new(0),
         });
         let conns: Arc<Mutex<Vec<JoinHandle<()>>>> = Arc::default();
-        let all = conns.clone();
+        let (all, own) = (conns.clone(), state.clone());
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let state = state.clone();
@@ -160,7 +164,7 @@
                 all.push(conn);
             }
         });
-        Ok(Formula { uid: uid.to_string(), at, boot_ms, faults, books, task, conns })
+        Ok(Formula { uid: uid.to_string(), at, boot_ms, faults, books, state: own, task, conns })
     }
 
     /// What was run so far.
@@ -169,6 +173,12 @@
         lock(&self.books).clone()
     }
 
+    /// Commands that run or wait, and those that were answered since the start.
+    #[must_use]
+    pub fn work(&self) -> (u64, u64) {
+        (self.state.waiting.load(Ordering::Relaxed), self.state.served.load(Ordering::Relaxed))
+    }
+
     /// Ends it as a killed process does: connections break, new ones are refused.
     pub fn kill(&self) {
         self.task.abort();
@@ -204,14 +214,22 @@
         }
         {
             let mut books = lock(&self.books);
-            *books.runs.entry(id.to_string()).or_default() += 1;
+            if options.ids {
+                *books.runs.entry(id.to_string()).or_default() += 1;
+            }
             *books.units.entry(shop.to_string()).or_default() += units;
             if let Some(key) = field("k") {
                 let mut keys = lock(&self.keys);
                 let now = Instant::now();
-                keys.retain(|_, at| now.duration_since(*at) < options.window);
-                if !keys.contains_key(key) {
+                // Swept when it has doubled, not for each mix.
+                if keys.len() >= 2 * keys.capacity() / 3 {
+                    keys.retain(|_, at| now.duration_since(*at) < options.window);
+                }
+                let known = keys.get(key).is_some_and(|at| now.duration_since(*at) < options.window);
+                if !known {
                     keys.insert(key.to_string(), now);
+                }
+                if !known && options.ids {
                     *books.mixes.entry(key.to_string()).or_default() += 1;
                 }
             }
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -21,6 +21,10 @@
 /// Nothing of a town takes so long to start.
 const START: Duration = Duration::from_secs(20);
 
+/// How long gatekeepers are given to drain and to speak their last word, and an agent to take it and land it.
+const STOP: Duration = Duration::from_secs(8);
+const AGENT_STOP: Duration = Duration::from_secs(14);
+
 /// Unix time in ms.
 #[must_use]
 pub fn unix_ms() -> u64 {
@@ -131,6 +135,8 @@
 
 impl Process {
     async fn start(name: &str, mut command: Command, log_file: &Path) -> Result<Process, String> {
+        // A signal to this process's group, as Ctrl-C sends it, is not theirs: the town ends in its order.
+        command.process_group(0);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn().map_err(|e| format!("{name}: cannot be started: {e}"))?;
         let Some(stderr) = child.stderr.take() else { return Err(format!("{name}: has no log")) };
@@ -532,22 +538,22 @@
         })
     }
 
-    /// Ends all processes: first the agent, then the gatekeepers together, with time to drain.
+    /// Ends all processes: the gatekeepers together, with time to drain, and then the agent, which takes their last
+    /// words.
     pub async fn stop(&mut self) {
-        let most = Duration::from_secs(6);
-        if let Some(agent) = &mut self.agent {
-            agent.stop(most).await;
-        }
         for g in &self.gatekeepers {
             g.process.signal("TERM").await;
         }
-        let until = Instant::now() + most;
+        let until = Instant::now() + STOP;
         for g in &mut self.gatekeepers {
             let left = until.saturating_duration_since(Instant::now());
             if tokio::time::timeout(left, g.process.ended()).await.is_err() {
                 g.process.kill().await;
             }
         }
+        if let Some(agent) = &mut self.agent {
+            agent.stop(AGENT_STOP).await;
+        }
     }
 }
 
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -261,7 +261,7 @@
                 // Out of descriptors, most likely: make room, and don't spin while there is none.
                 Err(e) => {
                     if !std::mem::replace(&mut complained, true) {
-                        eprintln!("frostvale: cannot accept a connection: {e}");
+                        tracing::warn!("cannot accept a connection: {e}");
                     }
                     self.evict();
                     sleep(Duration::from_millis(50)).await;
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -55,7 +55,7 @@
             && !complained
         {
             complained = true;
-            eprintln!("frostvale: discovery at {address}: {e}; trying again");
+            tracing::warn!("discovery at {address}: {e}; trying again");
         }
         sleep(backoff).await;
         backoff = (backoff * 2).min(BACKOFF_MOST);
--- a/src/bin/frostvale/extra.rs
+++ b/src/bin/frostvale/extra.rs
@@ -1,6 +1,7 @@
 //! The gatekeeper's own file, which `GW_EXTRA` names: what the platform doesn't know of. Without it all of it is off.
 
 use frostvale::Conf;
+use frostvale_log::Format;
 use frostvale_outside::{Mode, Settings};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -14,6 +15,33 @@
     link: Option<Link>,
     outside: Option<Outside>,
     usage: Option<UsageReport>,
+    log: Log,
+}
+
+/// How log lines are written.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Log {
+    format: String,
+    level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { format: "text".into(), level: "info".into() }
+    }
+}
+
+/// The same, as it is to be used.
+pub struct LogLines {
+    pub format: Format,
+    pub level: String,
+}
+
+impl Default for LogLines {
+    fn default() -> Self {
+        LogLines { format: Format::Text, level: "info".into() }
+    }
 }
 
 /// How use is reported to the agent.
@@ -77,6 +105,8 @@
     pub outside: Option<Settings>,
     /// Whether use and levels are reported, and how often.
     pub usage: Option<UsageReport>,
+    /// How log lines are written.
+    pub log: LogLines,
 }
 
 impl Extra {
@@ -112,7 +142,10 @@
             Some(_) if file.link.is_none() => return Err("outside: needs [link], which carries it".into()),
             Some(outside) => Some(settings(outside, conf)?),
         };
-        Ok(Extra { link: file.link, outside, usage: file.usage })
+        let format = file.log.format.parse().map_err(|e| format!("log.format: {e}"))?;
+        frostvale_log::check(&file.log.level).map_err(|e| format!("log.level: {e}"))?;
+        let log = LogLines { format, level: file.log.level };
+        Ok(Extra { link: file.link, outside, usage: file.usage, log })
     }
 }
 
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -393,10 +393,7 @@
                 }
                 Breaker::HalfOpen => "is tried again by one request at a time",
             };
-            eprintln!(
-                "frostvale: the outside rate limit service {word} ({} calls failed so far)",
-                counts.failed
-            );
+            tracing::info!("the outside rate limit service {word} ({} calls failed so far)", counts.failed);
         }
     }
 
@@ -587,7 +584,7 @@
                 }
             }
             Action::SetTimer { token, after } => self.at(now + after, Due::Timer(token)),
-            Action::Log { text } => eprintln!("frostvale: {text}"),
+            Action::Log { text } => tracing::info!("{text}"),
             // Workers are not probed.
             Action::Probe { .. } => {}
         }
@@ -793,7 +790,7 @@
         let now = self.now();
         self.workers.sweep(now - idle);
         if let Some((count, last)) = self.spoilt.take() {
-            eprintln!("frostvale: {count} answers could not be read, the last from {last}");
+            tracing::warn!("{count} answers could not be read, the last from {last}");
         }
         self.at(now + (idle / 8.0).clamp(50.0, 2000.0), Due::Sweep);
     }
@@ -835,7 +832,7 @@
                 Due::Timer(token) => self.event(Event::Timer { token }),
                 Due::Attempt(id, _) => self.give_up(id, Ending::Timeout),
                 Due::Answer(id) => {
-                    eprintln!("frostvale: a request was not settled in time");
+                    tracing::warn!("a request was not settled in time");
                     if let Some(r) = self.requests.get_mut(&id) {
                         r.pending = None;
                         if let Some(client) = r.client.take() {
--- a/src/bin/frostvale/link.rs
+++ b/src/bin/frostvale/link.rs
@@ -4,6 +4,7 @@
 use crate::gateway::{Agents, Asker, Gateway, Shared};
 use frostvale::{Level, Name, Request};
 use frostvale_link::VERSION;
+use frostvale_link::left;
 use frostvale_link::node::{Host, Peer, UNREAD_MOST};
 use frostvale_link::proto::decision::Code;
 use frostvale_link::proto::outside_state::Breaker as BreakerWord;
@@ -15,6 +16,7 @@
 use frostvale_outside::{Breaker, Counts, Verdict};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::task::yield_now;
@@ -39,6 +41,8 @@
     peer: Rc<Peer>,
     outside: bool,
     record: bool,
+    /// The agent has said that it stops.
+    leaving: Cell<bool>,
     hands: RefCell<Hands>,
 }
 
@@ -121,6 +125,10 @@
     /// What was last told of each store.
     told: RefCell<HashMap<u64, f64>>,
     revision: Cell<u64>,
+    /// The socket: a last word that no agent takes is left beside it.
+    socket: PathBuf,
+    /// Set with the last word: nothing that would be use is decided after it.
+    ended: Cell<bool>,
 }
 
 /// How often a part of the stores is looked through, and how many at one stroke.
@@ -137,7 +145,7 @@
 const TOLD_STORES: usize = 1_000_000;
 
 impl Links {
-    pub fn new(gateway: Shared, name: String) -> Rc<Links> {
+    pub fn new(gateway: Shared, name: String, socket: PathBuf) -> Rc<Links> {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let started_ms = u64::try_from(unix.as_millis()).unwrap_or(0);
         let links = Rc::new(Links {
@@ -148,14 +156,17 @@
             sets: RefCell::default(),
             told: RefCell::default(),
             revision: Cell::new(0),
+            socket,
+            ended: Cell::new(false),
         });
         links.gateway.borrow_mut().set_agents(links.clone());
         links
     }
 
-    /// The one that keeps use and levels: of several that which came last.
+    /// The one that keeps use and levels: of several that which came last, of those that stop only if there is no other.
     fn keeper(&self) -> Option<Rc<Line>> {
-        self.lines.borrow().values().filter(|l| l.record).max_by_key(|l| l.peer.number).cloned()
+        let lines = self.lines.borrow();
+        lines.values().filter(|l| l.record).max_by_key(|l| (!l.leaving.get(), l.peer.number)).cloned()
     }
 
     /// Counts what was decided of one agent's checks.
@@ -216,38 +227,85 @@
         }
         for l in levels {
             if told.insert(l.key, l.seen) != Some(l.seen) {
-                let milli = |units: f64| (units * 1000.0).floor().clamp(-1e15, 1e15);
-                peer.level(LevelWord {
-                    key: l.key,
-                    plan: u32::try_from(l.plan).unwrap_or(u32::MAX),
-                    store_milli: milli(l.store).max(0.0) as u64,
-                    ceiling_milli: milli(l.ceiling) as i64,
-                });
+                peer.level(level_word(&l));
             }
         }
         next
     }
 
-    /// The last word of this life: all use, and what all stores hold; waits until an agent has it, not for ever.
+    /// The last word of this life: all use, and what all stores hold. Waits until an agent has it, not for ever; what
+    /// none has by then is left in a file beside the socket, for the next agent.
     pub async fn last_word(&self) {
         if self.gateway.borrow_mut().usage().is_none() {
             return;
         }
-        let Some(line) = self.keeper() else { return };
-        self.told.borrow_mut().clear();
-        let mut after = None;
-        loop {
-            after = self.tell_levels(&line.peer, after, LOOK_AT);
-            yield_now().await;
-            if after.is_none() || line.peer.unread() > UNREAD_MOST / 2 {
-                break;
+        self.ended.set(true);
+        let lines: Vec<Rc<Line>> = self.lines.borrow().values().cloned().collect();
+        for line in lines {
+            let mut hands = line.hands.borrow_mut();
+            // Nobody will say any more that these are not used.
+            let held: Vec<_> = hands.held.drain().map(|(_, request)| (request, true)).collect();
+            hands.decided.extend(held);
+        }
+        if let Some(line) = self.keeper() {
+            self.told.borrow_mut().clear();
+            let mut after = None;
+            loop {
+                after = self.tell_levels(&line.peer, after, LOOK_AT);
+                yield_now().await;
+                if after.is_none() || line.peer.unread() > UNREAD_MOST / 2 {
+                    break;
+                }
             }
         }
         self.close(true);
         let until = Instant::now() + LAST_WORD;
-        while Instant::now() < until && !self.gateway.borrow_mut().usage().is_none_or(|u| u.settled()) {
+        while Instant::now() < until
+            && self.keeper().is_some()
+            && !self.gateway.borrow_mut().usage().is_none_or(|u| u.settled())
+        {
             sleep(Duration::from_millis(5)).await;
         }
+        self.leave_word();
+    }
+
+    /// Leaves what no agent has kept.
+    fn leave_word(&self) {
+        let welcome = self.welcome();
+        let mut gateway = self.gateway.borrow_mut();
+        let mut levels = Vec::new();
+        let mut after = None;
+        loop {
+            let (some, next) = gateway.levels(after, 10_000);
+            levels.extend(some.iter().map(level_word));
+            after = next;
+            if next.is_none() || levels.len() >= TOLD_STORES {
+                break;
+            }
+        }
+        let Some(usage) = gateway.usage().filter(|usage| !usage.settled()) else { return };
+        let [passed, refused, served] = usage.sums().map(|milli| milli as f64 / 1000.0);
+        let (from_ms, to_ms) = usage.span();
+        let (name, what) = (&self.name, format!("units passed {passed}, refused {refused}, served {served}"));
+        match left::write(&self.socket, &welcome, usage.waiting(), &levels) {
+            Ok(path) => tracing::warn!(
+                passed,
+                refused,
+                served,
+                "{name}: no agent took the last word ({what}); it is left at {} for the next agent",
+                path.display()
+            ),
+            Err(e) => tracing::error!(
+                passed,
+                refused,
+                served,
+                reason = %e,
+                "{name}: no agent took the last word, and it can't be left at {}: {e}; use from {from_ms} to \
+                 {to_ms} ms (Unix time) is lost to the record: {what}; traffic was not touched; make room there before \
+                 the next stop",
+                left::place(&self.socket, self.started_ms).display()
+            ),
+        }
     }
 
     /// Tells the agents that no new check is taken.
@@ -294,6 +352,17 @@
     }
 }
 
+/// What a store holds, rounded down, as the link writes it.
+fn level_word(l: &Level) -> LevelWord {
+    let milli = |units: f64| (units * 1000.0).floor().clamp(-1e15, 1e15);
+    LevelWord {
+        key: l.key,
+        plan: u32::try_from(l.plan).unwrap_or(u32::MAX),
+        store_milli: milli(l.store).max(0.0) as u64,
+        ceiling_milli: milli(l.ceiling) as i64,
+    }
+}
+
 /// The plans as they are now.
 fn plans(gateway: &Gateway) -> Vec<Plan> {
     let (conf, settings) = (&gateway.conf, &gateway.settings);
@@ -330,6 +399,7 @@
             peer: peer.clone(),
             outside: hello.outside,
             record: hello.record,
+            leaving: Cell::new(false),
             hands: RefCell::default(),
         };
         if hello.record {
@@ -349,7 +419,7 @@
         }
         // A name comes from outside: what can't be printed would spoil the log.
         let name: String = hello.peer.chars().filter(|c| c.is_ascii_graphic()).take(64).collect();
-        eprintln!("frostvale: agent {name} is linked");
+        tracing::info!(agent = name, "agent {name} is linked");
     }
 
     fn check(&self, peer: &Rc<Peer>, check: Check) {
@@ -357,6 +427,9 @@
         let refuse = |code: Code, error: String| {
             peer.decide(Decision { id: check.id, code: code.into(), error, ..Decision::default() });
         };
+        if self.ended.get() {
+            return refuse(Code::Busy, String::new());
+        }
         {
             let mut hands = line.hands.borrow_mut();
             hands.let_go(Instant::now());
@@ -439,10 +512,18 @@
         let taken = gateway.set_plans(figures);
         if taken.is_ok() {
             if self.revision.replace(sent.revision) != sent.revision {
-                eprintln!("frostvale: the plans of revision {} are in effect", sent.revision);
+                tracing::info!(
+                    revision = sent.revision,
+                    "the plans of revision {} are in effect",
+                    sent.revision
+                );
             }
         } else {
-            eprintln!("frostvale: the plans of revision {} can't be used; those in use stay", sent.revision);
+            tracing::warn!(
+                revision = sent.revision,
+                "the plans of revision {} can't be used; those in use stay",
+                sent.revision
+            );
         }
         let (plans, revision) = (plans(&gateway), self.revision.get());
         peer.plans_taken(PlansTaken { revision, unknown, plans, error: taken.err().unwrap_or_default() });
@@ -459,12 +540,21 @@
         self.gateway.borrow_mut().restore(levels.iter().map(level).collect());
     }
 
+    fn agent_stops(&self, peer: &Rc<Peer>) {
+        let Some(line) = self.line(peer) else { return };
+        // Reported to this one even now, if there is no other.
+        self.close(false);
+        line.leaving.set(true);
+        let number = self.gateway.borrow_mut().usage().map_or(0, |usage| usage.last());
+        peer.reported(number);
+    }
+
     fn left(&self, peer: &Rc<Peer>, why: Option<String>) {
         match why {
             Some(why) => {
-                eprintln!("frostvale: an agent was cut off: {why}; RESP2 traffic goes on without it")
+                tracing::warn!(reason = why, "an agent was cut off: {why}; RESP2 traffic goes on without it")
             }
-            None => eprintln!("frostvale: an agent has left; RESP2 traffic goes on without it"),
+            None => tracing::warn!("an agent has left; RESP2 traffic goes on without it"),
         }
         let Some(line) = self.lines.borrow_mut().remove(&peer.number) else { return };
         let waiting = std::mem::take(&mut line.hands.borrow_mut().waiting);
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -22,6 +22,7 @@
 use gateway::Gateway;
 use link::Links;
 use peers::Peers;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +34,8 @@
 
 /// How long discovery may be silent at the start before the known list has to do.
 const FIRST_LIST: Duration = Duration::from_secs(1);
+/// How often lines that were merged are told of.
+const LOG_TURN: Duration = Duration::from_secs(1);
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const FAREWELL: Duration = Duration::from_millis(500);
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
@@ -85,6 +88,7 @@
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
     let (mut config, extra) = told(false)?;
     let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
+    frostvale_log::init("frostvale", ("instance", &name), extra.log.format, &extra.log.level)?;
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let listen = listener.local_addr().unwrap_or(listen);
@@ -107,9 +111,9 @@
         settings.map(|s| Consult::new(s, seed)).transpose().map_err(|e| format!("outside.{e}"))
     };
     gateway.borrow_mut().set_outside(consult(&extra)?);
-    let agents = extra.link.map_or(0, |link| link.agents);
+    let (agents, socket) = extra.link.map_or((0, PathBuf::new()), |link| (link.agents, link.socket));
     let links = door.map(|door| {
-        let links = Links::new(gateway.clone(), name.clone());
+        let links = Links::new(gateway.clone(), name.clone(), socket);
         if let Some(usage) = &extra.usage {
             gateway.borrow_mut().count_use();
             spawn_local(links.clone().report(usage.report()));
@@ -129,6 +133,12 @@
     }
     spawn_local(Gateway::keep_time(gateway.clone()));
     spawn_local(clients.clone().keep_time());
+    spawn_local(async {
+        loop {
+            sleep(LOG_TURN).await;
+            frostvale_log::turn();
+        }
+    });
     spawn_local(discovery::follow(gateway.clone(), discovery, rev));
     let reloaded = gateway.clone();
     let mut outside = extra.outside;
@@ -138,7 +148,7 @@
             match fresh {
                 // Sent also where it is the same: the whole list is asked for once more.
                 Ok((config, fresh, extra)) => {
-                    eprintln!("frostvale: configuration read again; discovery at {}", config.discovery);
+                    tracing::info!("configuration read again; discovery at {}", config.discovery);
                     let _ = moved.send(config.discovery);
                     // The breaker's state is kept where nothing has changed.
                     if extra.outside != outside {
@@ -146,20 +156,20 @@
                         reloaded.borrow_mut().set_outside(fresh);
                     }
                 }
-                Err(what) => eprintln!("frostvale: the configuration in use stays: {what}"),
+                Err(what) => tracing::warn!("the configuration in use stays: {what}"),
             }
         }
     });
     // Nothing is accepted before there is somebody to send it to.
     let _ = timeout(FIRST_LIST, news.notified()).await;
-    eprintln!("frostvale: {name} serves at {listen}");
+    tracing::info!("{name} serves at {listen}");
 
     tokio::select! {
         () = clients.clone().accept(&listener, gateway.clone()) => {}
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    eprintln!("frostvale: {name} stops");
+    tracing::info!("{name} stops");
     if let Some(links) = &links {
         links.stop();
     }
@@ -169,12 +179,14 @@
     while !clients.is_empty() {
         clients.one_left().await;
     }
-    if let Some(links) = &links {
-        links.last_word().await;
-    }
     // The last attempts of clients that have left need no answer; the last bytes to clients are the kernel's.
     while !gateway.borrow().settled() {
         sleep(Duration::from_millis(5)).await;
     }
+    // Nothing is sent on any more, so nothing more can become use.
+    if let Some(links) = &links {
+        links.last_word().await;
+    }
+    frostvale_log::end();
     Ok(())
 }
--- a/src/bin/frostvale/usage.rs
+++ b/src/bin/frostvale/usage.rs
@@ -126,6 +126,23 @@
         self.waiting.retain(|batch| !numbers.contains(&batch.seq));
     }
 
+    /// The number of the last batch.
+    pub fn last(&self) -> u64 {
+        self.seq
+    }
+
+    /// What waits to be kept, in thousandths of a unit: passed, refused, served.
+    pub fn sums(&self) -> [u64; 3] {
+        let lines = self.waiting.iter().flat_map(|batch| &batch.lines);
+        lines.fold([0; 3], |[p, r, s], l| [p + l.passed_milli, r + l.refused_milli, s + l.served_milli])
+    }
+
+    /// From when to when what waits is, Unix time in ms.
+    pub fn span(&self) -> (u64, u64) {
+        let ends = self.waiting.front().zip(self.waiting.back());
+        ends.map_or((self.from_ms, self.from_ms), |(first, last)| (first.from_ms, last.to_ms))
+    }
+
     /// Whether all is kept.
     pub fn settled(&self) -> bool {
         self.open.is_empty() && self.waiting.is_empty()
