--- a/crates/ctl/src/dev.rs
+++ b/crates/ctl/src/dev.rs
@@ -2,6 +2,7 @@
 
 use crate::load::{Playing, Shape, Show};
 use frostvale_load::report::Around;
+use frostvale_log::Format;
 use frostvale_standin::formula::Options;
 use frostvale_standin::postgres::{Login, Postgres};
 use frostvale_standin::town::{Plan, Town};
@@ -65,7 +66,7 @@
 }
 
 /// Runs the town until a signal comes.
-pub async fn run(args: Args) -> Result<ExitCode, String> {
+pub async fn run(args: Args, log_format: Format) -> Result<ExitCode, String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
@@ -91,6 +92,7 @@
         servers: usize::from(args.servers),
         formula: Options { work: work(&args), ids: false, ..Options::default() },
         launcher,
+        log_format: if log_format == Format::Json { "json" } else { "text" }.into(),
         folder: Some(folder),
         ..Plan::default()
     };
@@ -155,7 +157,7 @@
         }
         None => Ok(()),
     };
-    println!("frostctl: the town stops");
+    println!("The town stops.");
     town.stop().await;
     if let Some(file) = &args.ready_file {
         let _ = std::fs::remove_file(file);
@@ -223,16 +225,19 @@
     for k in 0..town.gatekeepers.len() {
         if let Some(how) = town.gatekeepers[k].process.has_ended() {
             let name = town.gatekeepers[k].name.clone();
-            println!("frostctl: {name} has ended ({how}); its requests were lost, it is started again");
+            tracing::warn!(
+                instance = name,
+                "{name} has ended ({how}); its requests were lost, it is started again"
+            );
             if let Err(e) = town.restart_gatekeeper(k).await {
-                println!("frostctl: {e}");
+                tracing::error!("{e}");
             }
         }
     }
     if let Some(how) = town.agent.as_mut().and_then(frostvale_standin::town::Process::has_ended) {
-        println!("frostctl: the agent has ended ({how}); RESP2 traffic goes on, it is started again");
+        tracing::warn!("the agent has ended ({how}); RESP2 traffic goes on, it is started again");
         if let Err(e) = town.start_agent().await {
-            println!("frostctl: {e}");
+            tracing::error!("{e}");
         }
     }
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -48,9 +48,10 @@
         eprintln!("frostctl: {what}");
         return ExitCode::FAILURE;
     }
+    let format = args.log_format;
     let ended = match args.command {
         Command::WithParent(args) => dev::with_parent(&args),
-        Command::Dev(args) => block_on(dev::run(args)),
+        Command::Dev(args) => block_on(dev::run(args, format)),
         Command::Load(args) => block_on(load::run(args)),
         Command::Record(args) => block_on(record::run(args)),
         Command::Status(args) => block_on(status::run(args)),
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -241,6 +241,8 @@
     use proptest::prelude::*;
 
     proptest! {
+        #![proptest_config(ProptestConfig::with_cases(24))]
+
         #[test]
         fn shops_fit_whatever_the_rate(rate in 1.0f64..20_000.0, gatekeepers in 1u32..100, spread in 1u32..5) {
             let plans = brief_plans();
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -83,6 +83,8 @@
     pub notes: bool,
     /// The units that one request may count at the most.
     pub largest: u32,
+    /// How programs write their log lines: `text` or `json`.
+    pub log_format: String,
 }
 
 impl Default for Plan {
@@ -100,6 +102,7 @@
             folder: None,
             notes: true,
             largest: 4,
+            log_format: "text".into(),
         }
     }
 }
@@ -421,8 +424,12 @@
             },
         });
         let socket = self.folder.join(format!("{name}.sock"));
-        let extra =
-            format!("[link]\nsocket = {:?}\n{}", socket.display().to_string(), self.plan.gatekeeper_extra);
+        let extra = format!(
+            "[link]\nsocket = {:?}\n[log]\nformat = {:?}\n{}",
+            socket.display().to_string(),
+            self.plan.log_format,
+            self.plan.gatekeeper_extra
+        );
         let put = |file: String, text: String| {
             let path = self.folder.join(file);
             fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))
@@ -478,7 +485,7 @@
         let path = self.folder.join("agent.toml");
         fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
         let mut command = self.command(&program("frostagent")?);
-        command.arg("--config").arg(&path);
+        command.arg("--config").arg(&path).arg("--log-format").arg(&self.plan.log_format);
         let mut agent = Process::start("agent", command, &self.folder.join("agent.log")).await?;
         agent.says("serves rate limits at").await?;
         agent.says_times("is linked, number", self.gatekeepers.len()).await?;
