Prove what the record still owed: clocks 90 s off, TLS to the database, an agent's own stop

Change: clock_ahead_ms corrects a host's clock, and a town runs with clocks 90 s off both ways; TLS to the PostgreSQL stand-in with the right, another and no certificate; an agent that stops alone or with its gatekeepers, with no next agent.

--- a/crates/agent/tests/kept/mod.rs
+++ b/crates/agent/tests/kept/mod.rs
@@ -89,13 +89,34 @@
 
     /// With something in front of each program.
     pub async fn town_under(&self, gatekeepers: usize, launcher: Vec<String>) -> Town {
+        self.start(gatekeepers, "[usage]\nreport_ms = 50\n", launcher, Vec::new()).await
+    }
+
+    /// One gatekeeper, with another section of its own file.
+    pub async fn town_with(&self, gatekeeper_extra: &str, launcher: Vec<String>) -> Town {
+        self.start(1, gatekeeper_extra, launcher, Vec::new()).await
+    }
+
+    /// On hosts whose clocks are ahead by so many ms.
+    pub async fn town_of_clocks(&self, clocks_ahead_ms: Vec<i64>) -> Town {
+        self.start(clocks_ahead_ms.len(), "[usage]\nreport_ms = 50\n", Vec::new(), clocks_ahead_ms).await
+    }
+
+    async fn start(
+        &self,
+        gatekeepers: usize,
+        gatekeeper_extra: &str,
+        launcher: Vec<String>,
+        clocks_ahead_ms: Vec<i64>,
+    ) -> Town {
         let formula = Options { cores: 8, work: Duration::from_millis(2), queue: 1000, ..Options::default() };
         Town::start(Plan {
             gatekeepers,
             servers: 3,
             formula,
             plans: Some(plans()),
-            gatekeeper_extra: "[usage]\nreport_ms = 50\n".into(),
+            gatekeeper_extra: gatekeeper_extra.into(),
+            clocks_ahead_ms,
             agent_extra: self.agent_extra(),
             launcher,
             ..Plan::default()
--- a/crates/agent/tests/record.rs
+++ b/crates/agent/tests/record.rs
@@ -433,6 +433,55 @@
     town.stop().await;
 }
 
+/// Hosts whose clocks are 90 s ahead and 90 s behind: lives, batches and stores are told apart all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn clocks_that_are_ninety_seconds_off_lose_nothing_and_count_nothing_twice() {
+    let kept = Kept::sqlite();
+    let mut town = kept.town_of_clocks(vec![90_000, -90_000]).await;
+    let load = Load::start(&town, 4);
+    load.more(100).await;
+    for k in 0..2 {
+        town.agent.as_mut().expect("an agent").kill().await;
+        load.more(50).await;
+        town.start_agent().await.expect("started");
+        town.gatekeepers[k].process.signal("TERM").await;
+        town.gatekeepers[k].process.ended().await;
+        town.restart_gatekeeper(k).await.expect("started");
+        load.more(100).await;
+    }
+    load.stop().await;
+    // A store that was spent stays spent over a life by a clock that is ahead, as by one that is behind.
+    for k in 0..2 {
+        let ten = Shop { first: k as u32, ..shop(60 + k as u64, "ten") };
+        let pool = Pool::new(town.gatekeepers[k].resp);
+        for _ in 0..7 {
+            assert!(served(&pool, &ten).await);
+        }
+        town.gatekeepers[k].process.signal("TERM").await;
+        town.gatekeepers[k].process.ended().await;
+        town.restart_gatekeeper(k).await.expect("started");
+        let agent = town.agent.as_mut().expect("an agent");
+        agent.says(&format!("n{}: ", k + 1)).await.expect("restored");
+        let pool = Pool::new(town.gatekeepers[k].resp);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let mut left = 0;
+        for _ in 0..10 {
+            left += u32::from(served(&pool, &ten).await);
+        }
+        assert_eq!(left, 3, "of ten, at gatekeeper {k}");
+    }
+    town.stop().await;
+    let backend = kept.open().await;
+    let found: BTreeMap<String, i64> = ledger(&*backend)
+        .await
+        .into_iter()
+        .map(|(shop, v)| (shop, v.0))
+        .filter(|(_, passed)| *passed > 0)
+        .collect();
+    assert_eq!(found, booked(&town));
+    assert_eq!(backend.run(Op::Gaps).await, Ok(Reply::Gaps(Vec::new())));
+}
+
 // ---- what can't be used ----
 
 #[test]
--- a/crates/agent/tests/stops.rs
+++ b/crates/agent/tests/stops.rs
@@ -242,3 +242,61 @@
     assert!((19.0..=28.0).contains(&lost), "{}", lines[0]);
     town.stop().await;
 }
+
+/// A town whose gatekeepers report once a minute: what is in the record was taken by the agent's own stop.
+async fn seldom_reported(kept: &Kept) -> Town {
+    let town = kept.town_with("[usage]\nreport_ms = 60000\n", Vec::new()).await;
+    let pool = Pool::new(town.gatekeepers[0].resp);
+    for k in 0..21 {
+        assert!(served(&pool, &shop(k % 4, "wide")).await);
+    }
+    town
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_stops_alone_takes_what_was_used_until_then() {
+    let kept = Kept::sqlite();
+    let mut town = seldom_reported(&kept).await;
+    let backend = kept.open().await;
+    let agent = town.agent.as_mut().expect("an agent");
+    agent.signal("TERM").await;
+    assert!(agent.ended().await.expect("ended").success());
+    // Nobody else is there to land it.
+    let found: i64 = ledger(&*backend).await.values().map(|v| v.0).sum();
+    assert_eq!(found, 21_000);
+    // The gatekeeper goes on, and the next agent gets what came since.
+    let pool = Pool::new(town.gatekeepers[0].resp);
+    assert!(served(&pool, &shop(9, "wide")).await);
+    town.start_agent().await.expect("started");
+    town.stop().await;
+    let found: i64 = ledger(&*backend).await.values().map(|v| v.0).sum();
+    assert_eq!(found, 22_000);
+    no_gap(&*backend, "both ended in order").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_stops_with_its_gatekeepers_takes_their_last_words_first() {
+    let kept = Kept::sqlite();
+    let mut town = seldom_reported(&kept).await;
+    let backend = kept.open().await;
+    // The agent hears of it first: it waits, and the gatekeeper that stops a moment later still finds it.
+    town.agent.as_ref().expect("an agent").signal("TERM").await;
+    town.gatekeepers[0].process.signal("TERM").await;
+    assert!(town.gatekeepers[0].process.ended().await.expect("ended").success());
+    assert!(town.agent.as_mut().expect("an agent").ended().await.expect("ended").success());
+    let found: i64 = ledger(&*backend).await.values().map(|v| v.0).sum();
+    assert_eq!(
+        (found, words(&town, 0)),
+        (21_000, Vec::new()),
+        "all of it is in the record, and no word is left"
+    );
+    let epoch_ms = match backend.run(Op::Instances).await {
+        Ok(Reply::Instances(all)) => all.iter().find(|i| i.0 == "n1").expect("seen").2,
+        other => panic!("{other:?}"),
+    };
+    let mark = Op::Watermark { instance: "n1".into(), epoch_ms };
+    let Ok(Reply::Watermark(Some((_, _, ended)), _)) = backend.run(mark).await else {
+        panic!("no watermark")
+    };
+    assert!(ended, "the last word is known for one");
+}
--- a/crates/record/tests/backends.rs
+++ b/crates/record/tests/backends.rs
@@ -2,7 +2,7 @@
 
 use frostvale_record::model::{Batch, Change, Level, Line, Override, Plan, Shop};
 use frostvale_record::{Backend, Error, Op, Place, Reply, sql};
-use frostvale_standin::postgres::{Login, Postgres};
+use frostvale_standin::postgres::{Login, Postgres, tls_acceptor};
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -299,6 +299,52 @@
 
 // ---- PostgreSQL's failures ----
 
+/// TLS to the database: a server whose certificate is signed by the configured authority is used; one that another
+/// signed, and one that speaks no TLS, are not, and nothing is asked of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_database_is_spoken_to_over_tls_and_only_with_the_right_certificate() {
+    use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+    let folder = tempfile::tempdir().expect("a folder");
+    let authority = |name: &str| {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(Vec::new()).expect("sound");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let file = folder.path().join(name);
+        std::fs::write(&file, params.self_signed(&key).expect("signed").pem()).expect("written");
+        (Issuer::new(params, key), file)
+    };
+    let ((ours, ours_file), (_, other_file)) = (authority("ours.pem"), authority("other.pem"));
+    let key = KeyPair::generate().expect("a key");
+    let params = CertificateParams::new(vec!["localhost".to_string()]).expect("sound");
+    let cert = params.signed_by(&key, &ours).expect("signed");
+    let acceptor = tls_acceptor(cert.der().to_vec(), key.serialize_der()).expect("sound");
+    let at = std::net::SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let file = folder.path().join("pg.db");
+    let server =
+        Postgres::start_at(at, &file, PASSWORD, Login::Scram, Some(acceptor)).await.expect("started");
+    let password = folder.path().join("password");
+    std::fs::write(&password, PASSWORD).expect("written");
+    let place = |at: std::net::SocketAddr, ca: &Path| Place {
+        password_file: Some(password.clone()),
+        ca: Some(ca.to_path_buf()),
+        connect: Duration::from_secs(2),
+        ..Place::new(&format!("postgres://agent@localhost:{}/frostvale", at.port()))
+    };
+    let backend = place(server.at, &ours_file).open().await.expect("opened");
+    backend.migrate().await.expect("migrated over TLS");
+    backend.run(Op::Append { batches: vec![batch(1, 2)], now_ms: 1 }).await.expect("landed");
+    let before = server.statements();
+    let wrong = place(server.at, &other_file).open().await.expect("opened");
+    let said = wrong.migrate().await.expect_err("another authority").to_string();
+    assert!(said.contains("certificate"), "{said}");
+    assert_eq!(server.statements(), before, "nothing was asked");
+    let plain_file = folder.path().join("plain.db");
+    let plain = Postgres::start(at.ip(), &plain_file, PASSWORD, Login::Scram).await.expect("started");
+    let none = place(plain.at, &ours_file).open().await.expect("opened");
+    assert!(none.migrate().await.is_err(), "no TLS, no word");
+    assert_eq!(plain.statements(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_commit_whose_answer_is_lost_is_in_doubt_and_done_again_safely() {
     let mut kept = Kept::new();
--- a/crates/standin/src/postgres.rs
+++ b/crates/standin/src/postgres.rs
@@ -43,6 +43,23 @@
     Md5,
 }
 
+/// TLS with this certificate and key, both DER, for [`Postgres::start_at`].
+///
+/// # Errors
+/// When they can't be used.
+pub fn tls_acceptor(cert: Vec<u8>, key: Vec<u8>) -> Result<tokio_rustls::TlsAcceptor, String> {
+    use tokio_rustls::rustls::pki_types::{PrivateKeyDer, PrivatePkcs8KeyDer};
+    use tokio_rustls::rustls::{ServerConfig, crypto::ring};
+    let key = PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(key));
+    let config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()
+        .map_err(|e| e.to_string())?
+        .with_no_client_auth()
+        .with_single_cert(vec![cert.into()], key)
+        .map_err(|e| e.to_string())?;
+    Ok(tokio_rustls::TlsAcceptor::from(Arc::new(config)))
+}
+
 /// What it does wrong. All may be changed at any time.
 #[derive(Default)]
 pub struct Faults {
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -83,6 +83,8 @@
     pub notes: bool,
     /// The units that one request may count at the most.
     pub largest: u32,
+    /// By how many ms each gatekeeper's host has its clock ahead; none is right.
+    pub clocks_ahead_ms: Vec<i64>,
     /// How programs write their log lines: `text` or `json`.
     pub log_format: String,
 }
@@ -102,6 +104,7 @@
             folder: None,
             notes: true,
             largest: 4,
+            clocks_ahead_ms: Vec::new(),
             log_format: "text".into(),
         }
     }
@@ -425,7 +428,8 @@
         });
         let socket = self.folder.join(format!("{name}.sock"));
         let extra = format!(
-            "[link]\nsocket = {:?}\n[log]\nformat = {:?}\n{}",
+            "clock_ahead_ms = {}\n[link]\nsocket = {:?}\n[log]\nformat = {:?}\n{}",
+            self.plan.clocks_ahead_ms.get(k).copied().unwrap_or(0),
             socket.display().to_string(),
             self.plan.log_format,
             self.plan.gatekeeper_extra
--- a/src/bin/frostvale/extra.rs
+++ b/src/bin/frostvale/extra.rs
@@ -16,6 +16,7 @@
     outside: Option<Outside>,
     usage: Option<UsageReport>,
     log: Log,
+    clock_ahead_ms: i64,
 }
 
 /// How log lines are written.
@@ -107,6 +108,8 @@
     pub usage: Option<UsageReport>,
     /// How log lines are written.
     pub log: LogLines,
+    /// Added to the host's clock where lives are named and use is dated.
+    pub clock_ahead_ms: i64,
 }
 
 impl Extra {
@@ -145,7 +148,11 @@
         let format = file.log.format.parse().map_err(|e| format!("log.format: {e}"))?;
         frostvale_log::check(&file.log.level).map_err(|e| format!("log.level: {e}"))?;
         let log = LogLines { format, level: file.log.level };
-        Ok(Extra { link: file.link, outside, usage: file.usage, log })
+        let clock_ahead_ms = file.clock_ahead_ms;
+        if !(-600_000..=600_000).contains(&clock_ahead_ms) {
+            return Err("clock_ahead_ms: -600000 to 600000".into());
+        }
+        Ok(Extra { link: file.link, outside, usage: file.usage, log, clock_ahead_ms })
     }
 }
 
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -425,9 +425,9 @@
     // ---- use, plans and levels, for the record ----
 
     /// Begins to count use.
-    pub fn count_use(&mut self) {
-        let now = self.now();
-        self.usage = Some(Usage::new(now.max(0.0) as u64));
+    pub fn count_use(&mut self, ahead: i64) {
+        let now = (self.now().max(0.0) as u64).saturating_add_signed(ahead);
+        self.usage = Some(Usage::new(now));
     }
 
     /// The use of this life, where it is counted.
--- a/src/bin/frostvale/link.rs
+++ b/src/bin/frostvale/link.rs
@@ -120,6 +120,7 @@
     gateway: Shared,
     name: String,
     started_ms: u64,
+    ahead: i64,
     lines: RefCell<HashMap<u64, Rc<Line>>>,
     sets: RefCell<Sets>,
     /// What was last told of each store.
@@ -145,13 +146,15 @@
 const TOLD_STORES: usize = 1_000_000;
 
 impl Links {
-    pub fn new(gateway: Shared, name: String, socket: PathBuf) -> Rc<Links> {
+    /// `ahead`: ms to add to this host's clock.
+    pub fn new(gateway: Shared, name: String, socket: PathBuf, ahead: i64) -> Rc<Links> {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let started_ms = u64::try_from(unix.as_millis()).unwrap_or(0);
+        let started_ms = u64::try_from(unix.as_millis()).unwrap_or(0).saturating_add_signed(ahead);
         let links = Rc::new(Links {
             gateway,
             name,
             started_ms,
+            ahead,
             lines: RefCell::default(),
             sets: RefCell::default(),
             told: RefCell::default(),
@@ -179,7 +182,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        self.gateway.borrow().now().max(0.0) as u64
+        (self.gateway.borrow().now().max(0.0) as u64).saturating_add_signed(self.ahead)
     }
 
     /// Closes the use so far and reports it.
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -113,9 +113,9 @@
     gateway.borrow_mut().set_outside(consult(&extra)?);
     let (agents, socket) = extra.link.map_or((0, PathBuf::new()), |link| (link.agents, link.socket));
     let links = door.map(|door| {
-        let links = Links::new(gateway.clone(), name.clone(), socket);
+        let links = Links::new(gateway.clone(), name.clone(), socket, extra.clock_ahead_ms);
         if let Some(usage) = &extra.usage {
-            gateway.borrow_mut().count_use();
+            gateway.borrow_mut().count_use(extra.clock_ahead_ms);
             spawn_local(links.clone().report(usage.report()));
         }
         spawn_local(frostvale_link::node::serve(door, links.clone(), agents));
