--- a/crates/agent/src/fleet.rs
+++ b/crates/agent/src/fleet.rs
@@ -16,6 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
+use tracing::Instrument;
 
 /// News of one gatekeeper that are not taken up yet.
 const NEWS: usize = 4096;
@@ -125,7 +126,8 @@
             keeper
         });
         for (k, news) in heard.into_iter().enumerate() {
-            tokio::spawn(fleet.clone().hear(k, news, outside.clone(), keeper.clone()));
+            let span = tracing::debug_span!("link", instance = fleet.members[k].name);
+            tokio::spawn(fleet.clone().hear(k, news, outside.clone(), keeper.clone()).instrument(span));
         }
         fleet
     }
--- a/crates/agent/src/rls.rs
+++ b/crates/agent/src/rls.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 use tonic::metadata::MetadataMap;
 use tonic::{Request, Response, Status};
+use tracing::Instrument;
 
 /// The part of a caller's time that is left for the answer's way back.
 const MARGIN: Duration = Duration::from_millis(5);
@@ -170,7 +171,13 @@
         up(&self.counts.calls);
         let most = self.rls.decide_within();
         let within = grpc_timeout(request.metadata()).map_or(most, |t| t.saturating_sub(MARGIN).min(most));
-        self.call(request.get_ref(), Instant::now() + within).await.map(Response::new)
+        let call = request.get_ref();
+        let span = tracing::debug_span!("call", domain = call.domain, descriptors = call.descriptors.len());
+        let answered = self.call(call, Instant::now() + within).instrument(span).await;
+        if let Err(status) = &answered {
+            tracing::debug!(reason = status.message(), "a call is not answered");
+        }
+        answered.map(Response::new)
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,8 +6,12 @@
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
 use crate::api::*;
+use crate::index::Index;
 use crate::note::{Item, key_of};
+use crate::post::Post;
 use crate::state::*;
+use crate::swept::Swept;
+use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -48,7 +52,6 @@
 const LEASE: f64 = 6.0;
 /// The part of the peers' intake that notes may fill, a tenth of a second's at one stroke.
 const INTAKE_PART: f64 = 0.75;
-const NOTE_BYTES: usize = 256;
 /// Customers not seen for this long are forgotten: by then every bucket is full again.
 const IDLE_MS: f64 = 60_000.0;
 /// How much one answer moves what is known of a server's speed and of its failures.
@@ -61,6 +64,9 @@
 const ALIKE_PEERS: f64 = 3.0;
 /// A request looks at so many servers with room at the least, at more where each gateway knows more.
 const LOOK: f64 = 2.0;
+/// However large the fleet: the best of so many is hardly worse than the best of all.
+const LOOK_MOST: f64 = 16.0;
+const DRAW_MOST: usize = 64;
 /// A load report is worth less and less over this time.
 const REPORT_MS: f64 = 1000.0;
 /// The same for a server that is thought to have room for nothing: it is seldom asked.
@@ -89,9 +95,10 @@
     cfg: Settings,
     rng: Pcg64Mcg,
     now: f64,
-    customers: BTreeMap<u64, Customer>,
+    customers: Swept<Customer>,
     post: Post,
     servers: BTreeMap<Name, Live>,
+    index: Index,
     held: BTreeMap<u64, Held>,
     waits: BTreeMap<u64, Job>,
     asks: u64,
@@ -103,7 +110,6 @@
     slot_count: u32,
     passed: Vec<f64>,
     retries: f64,
-    swept: f64,
     room: f64,
     actions: Vec<Action>,
 }
@@ -143,8 +149,9 @@
         Ok(Control {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
-            customers: BTreeMap::new(),
+            customers: Swept::default(),
             servers: BTreeMap::new(),
+            index: Index::default(),
             held: BTreeMap::new(),
             waits: BTreeMap::new(),
             asks: 0,
@@ -157,7 +164,6 @@
             slot_count: 0,
             passed: vec![f64::NEG_INFINITY; tiers],
             retries: RETRY_MOST,
-            swept: 0.0,
             room: ROOM * (1.5 - 0.5 * (ALIKE_PEERS / f64::from(cfg.gateways)).min(1.0)),
             actions: Vec::new(),
             cfg,
@@ -191,11 +197,16 @@
             for (name, s) in &mut self.servers {
                 if !named.contains(name) {
                     s.health = Health::Gone;
+                    self.index.down(name);
                 }
             }
         }
         for line in lines {
             let now = self.now;
+            match line.health {
+                Health::Up => self.index.up(&line.name, line.zone, line.cell),
+                _ => self.index.down(&line.name),
+            }
             let s = self.servers.entry(line.name).or_insert_with(|| Live {
                 since: line.since,
                 sent_at: now,
@@ -758,28 +769,17 @@
         group: Option<(Group, u32, u32)>,
         avoid: Option<&Name>,
     ) -> Option<Name> {
-        let grouped = |s: &Live| match group {
-            Some((Group::Zone, zone, _)) => s.zone == zone,
-            Some((Group::Cell, _, cell)) => s.cell == cell,
-            _ => true,
-        };
-        let mut drawn: Vec<&Name> = Vec::with_capacity(self.servers.len());
-        drawn.extend(
-            self.servers
-                .iter()
-                .filter(|(n, s)| s.health == Health::Up && grouped(s) && avoid != Some(n))
-                .map(|(n, _)| n),
-        );
+        let drawn = self.index.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
-            .max(LOOK)
+            .clamp(LOOK, LOOK_MOST)
             .min(drawn.len() as f64);
+        // Of a large fleet no more are drawn than are likely to hold so many with room.
+        let lots = sample(&mut self.rng, drawn.len(), drawn.len().min(DRAW_MOST));
         let aim = self.cfg.classes[class].aim;
         let mut best: Option<(f64, Name)> = None;
         let mut seen = 0.0;
-        for k in 0..drawn.len() {
-            let other = self.rng.random_range(k..drawn.len());
-            drawn.swap(k, other);
-            let s = &self.servers[drawn[k]];
+        for name in lots.iter().map(|k| &drawn[k]).filter(|name| avoid != Some(name)) {
+            let Some(s) = self.servers.get(name) else { continue };
             let warmth = self.warmth(s);
             // Were it chosen each time, a cold server would get its part of a warm one's share.
             if warmth < 1.0 && self.rng.random::<f64>() >= COLD_PART * warmth / look {
@@ -797,7 +797,7 @@
             let cost = (time * cross + (fail - self.fleet.fail).max(0.0) * aim)
                 * (1.0 + 0.1 * self.rng.random::<f64>());
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, drawn[k].clone()));
+                best = Some((cost, name.clone()));
             }
             seen += 1.0;
             if seen >= look {
@@ -967,45 +967,24 @@
 
     /// Puts an item into the next note to a peer, which goes after `wait` ms at the latest.
     fn note(&mut self, to: u32, key: u64, wait: f64, item: Item) {
-        let (due, item) = (self.now + wait, item.write(key, self.now));
-        let (at, text) = self.post.items.entry(to).or_insert((due, String::new()));
-        *at = at.min(due);
-        if text.len() + item.len() > NOTE_BYTES {
-            self.post.left -= 1.0;
-            let text = std::mem::replace(text, item);
+        if let Some(text) = self.post.put(to, self.now + wait, item.write(key, self.now)) {
             self.actions.push(Action::Tell { to, text });
-        } else {
-            text.push_str(&item);
         }
     }
 
     /// Sends what is due, as far as the peers can take it in; the rest follows in fuller notes.
     fn flush(&mut self) {
         let rate = INTAKE_PART * self.cfg.note_intake.max(1.0);
-        let most = (0.1 * rate).max(1.0);
-        self.post.left = (self.post.left + rate * (self.now - self.post.left_at) / 1000.0).min(most);
-        self.post.left_at = self.now;
-        let due = |(_, (at, _)): &(&u32, &(f64, String))| *at <= self.now;
-        while self.post.left >= 1.0 {
-            let next = self.post.items.range(self.post.next..).find(due).or(self.post.items.iter().find(due));
-            let Some(to) = next.map(|(to, _)| *to) else { break };
-            let Some((_, text)) = self.post.items.remove(&to) else { break };
-            self.post.left -= 1.0;
-            self.post.next = to + 1;
+        while let Some((to, text)) = self.post.next(self.now, rate) {
             self.actions.push(Action::Tell { to, text });
         }
-        let first = self.post.items.values().map(|(at, _)| *at - self.now).fold(f64::INFINITY, f64::min);
-        let after = first.max(1000.0 * (1.0 - self.post.left) / rate).max(1.0);
-        if first.is_finite() && self.post.tick_at.is_none_or(|at| self.now + after + 1.0 < at) {
-            self.post.tick_at = Some(self.now + after);
+        if let Some(after) = self.post.wake(self.now, rate) {
             self.actions.push(Action::SetTimer { token: TICK, after });
         }
-        if self.now - self.swept > IDLE_MS / 10.0 {
-            self.swept = self.now;
-            let now = self.now;
-            let waited = |c: &Customer| c.queue.iter().any(|ask| ask.until > now);
-            self.customers.retain(|_, c| c.open > 0 || waited(c) || now - c.seen < IDLE_MS);
-        }
+        let now = self.now;
+        self.customers.sweep(now, IDLE_MS / 10.0, |c| {
+            c.open > 0 || now - c.seen < IDLE_MS || c.queue.iter().any(|ask| ask.until > now)
+        });
     }
 
     fn on_note(&mut self, from: u32, text: &str) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,8 +32,11 @@
 mod api;
 mod conf;
 mod control;
+mod index;
 mod note;
+mod post;
 mod state;
+mod swept;
 
 pub use api::*;
 pub use conf::{Bounds, Conf, ConfClass, ConfPlan, EffectWord};
--- /dev/null
+++ b/src/post.rs
@@ -0,0 +1,99 @@
+//! Notes to peers, put together until they are due or full, and sent no faster than the peers can take them in. Nothing
+//! is decided here of what they say.
+
+use std::collections::BTreeMap;
+
+/// The longest note.
+const NOTE_BYTES: usize = 256;
+
+/// Notes to be sent.
+#[derive(Default)]
+pub(crate) struct Post {
+    /// By peer: from when on what is to be told goes in a note of its own, and its text.
+    items: BTreeMap<u32, (f64, String)>,
+    /// The peer whose turn is next.
+    turn: u32,
+    /// How many notes may go as of `left_at`.
+    left: f64,
+    left_at: f64,
+    /// When the host wakes us.
+    pub tick_at: Option<f64>,
+}
+
+impl Post {
+    /// Puts an item into the next note to a peer, which is due at this time at the latest. Gives the note before it
+    /// where that is full.
+    pub fn put(&mut self, to: u32, due: f64, item: String) -> Option<String> {
+        let (at, text) = self.items.entry(to).or_insert((due, String::new()));
+        *at = at.min(due);
+        if text.len() + item.len() > NOTE_BYTES {
+            self.left -= 1.0;
+            return Some(std::mem::replace(text, item));
+        }
+        text.push_str(&item);
+        None
+    }
+
+    /// The next note that is due and may go, at `rate` a second, a tenth of a second's at one stroke.
+    pub fn next(&mut self, now: f64, rate: f64) -> Option<(u32, String)> {
+        let most = (0.1 * rate).max(1.0);
+        self.left = (self.left + rate * (now - self.left_at) / 1000.0).min(most);
+        self.left_at = now;
+        if self.left < 1.0 {
+            return None;
+        }
+        let due = |(_, (at, _)): &(&u32, &(f64, String))| *at <= now;
+        let to = *self.items.range(self.turn..).find(due).or(self.items.iter().find(due))?.0;
+        let (_, text) = self.items.remove(&to)?;
+        self.left -= 1.0;
+        self.turn = to + 1;
+        Some((to, text))
+    }
+
+    /// In how many ms the host should wake us, unless it does so soon enough.
+    pub fn wake(&mut self, now: f64, rate: f64) -> Option<f64> {
+        let first = self.items.values().map(|(at, _)| *at - now).fold(f64::INFINITY, f64::min);
+        let after = first.max(1000.0 * (1.0 - self.left) / rate).max(1.0);
+        let wanted = first.is_finite() && self.tick_at.is_none_or(|at| now + after + 1.0 < at);
+        wanted.then(|| {
+            self.tick_at = Some(now + after);
+            after
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn items_share_notes_and_notes_keep_to_the_rate() {
+        let mut post = Post::default();
+        let item = "x".repeat(100);
+        assert_eq!(post.put(1, 0.0, item.clone()), None);
+        assert_eq!(post.put(1, 0.0, item.clone()), None);
+        assert_eq!(post.put(1, 0.0, item.clone()).map(|t| t.len()), Some(200), "full before the third");
+        for to in 2..200 {
+            post.put(to, 0.0, item.clone());
+        }
+        // A tenth of a second's at one stroke, then 50 a second.
+        let mut sent = 0;
+        for ms in 0..1000 {
+            while let Some((_, text)) = post.next(10_000.0 + f64::from(ms), 50.0) {
+                assert!(text.len() <= NOTE_BYTES);
+                sent += 1;
+            }
+        }
+        assert!((50..=56).contains(&sent), "{sent}");
+        assert!(post.wake(11_000.0, 50.0).is_some_and(|after| after <= 20.0));
+        assert_eq!(post.wake(11_000.0, 50.0), None, "asked for already");
+    }
+
+    #[test]
+    fn a_note_that_is_not_due_waits() {
+        let mut post = Post::default();
+        post.put(1, 500.0, "x".into());
+        assert_eq!(post.next(499.0, 50.0), None);
+        assert_eq!(post.next(500.0, 50.0), Some((1, "x".into())));
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -135,16 +135,3 @@
     /// When a report last came, and what they say on average of the others' at a server.
     pub reported: Option<(f64, f64)>,
 }
-
-/// Notes to be sent.
-#[derive(Default)]
-pub(crate) struct Post {
-    /// By peer: from when on what is to be told goes in a note of its own, and its text.
-    pub items: BTreeMap<u32, (f64, String)>,
-    /// The peer whose turn is next.
-    pub next: u32,
-    /// How many notes may go as of `left_at`.
-    pub left: f64,
-    pub left_at: f64,
-    pub tick_at: Option<f64>,
-}
