--- a/crates/agent/tests/record.rs
+++ b/crates/agent/tests/record.rs
@@ -8,7 +8,7 @@
 use frostvale_standin::formula::Options;
 use frostvale_standin::load::{Pool, Shop, call, rls_client};
 use frostvale_standin::resp::Answer;
-use frostvale_standin::town::{Plan, Town};
+use frostvale_standin::town::{Plan, Town, unix_ms};
 use kept::{Kept, Load, SHOP, WAIT, booked, ledger, plans, served, shop, status, until};
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -391,6 +391,51 @@
     town.stop().await;
 }
 
+/// A gatekeeper spends what its last word still counted while its agent is dead, and is killed: the slice that comes back
+/// is not that one. The shop asks only once the restored stores have arrived, in each of four lives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_gatekeepers_slice_is_not_restored_as_it_was_last_told() {
+    let kept = Kept::sqlite();
+    let mut town = kept.town(1).await;
+    let backend = kept.open().await;
+    let shop = Shop { id: SHOP.into(), ..shop(0, "capped") };
+    let begun = Instant::now();
+    let burst = async |town: &Town, what: &str| {
+        let pool = Pool::new(town.gatekeepers[0].resp);
+        for _ in 0..60 {
+            served(&pool, &shop).await;
+        }
+        let passed = town.units().get(SHOP).copied().unwrap_or(0.0);
+        // Rate and burst 20, slack 4.
+        let most = 20.0 * begun.elapsed().as_secs_f64() + 20.0 + 4.0;
+        assert!(passed <= most, "{what}: {passed} units, {most} at the most");
+    };
+    for _ in 0..4 {
+        // The slice fills, one request is seen to leave much of it, and that is told and kept.
+        let pool = Pool::new(town.gatekeepers[0].resp);
+        served(&pool, &shop).await;
+        let first_ms = i64::try_from(unix_ms()).expect("a time");
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        served(&pool, &shop).await;
+        until("a full slice is kept", async || {
+            let levels = backend.run(Op::Levels { instance: "n1".into(), since_ms: 0 }).await;
+            let Ok(Reply::Levels(levels)) = levels else { return None };
+            levels.iter().any(|l| l.ceiling_milli >= 15_000 && l.at_ms > first_ms).then_some(())
+        })
+        .await;
+        town.agent.as_mut().expect("an agent").kill().await;
+        burst(&town, "before the kill").await;
+        town.gatekeepers[0].process.kill().await;
+        town.restart_gatekeeper(0).await.expect("started");
+        town.start_agent().await.expect("started");
+        town.agent.as_mut().expect("an agent").says("stores are restored").await.expect("restored");
+        // Until the restored stores have arrived it may be too early to ask.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        burst(&town, "after the restart").await;
+    }
+    town.stop().await;
+}
+
 /// A quota's store is not full again after a restart, and after one in order it is exactly what it was.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_that_was_spent_is_still_spent_after_a_restart() {
--- a/crates/sim/src/formula.rs
+++ b/crates/sim/src/formula.rs
@@ -133,6 +133,7 @@
         self.attempts += 1;
         let warmth = self.warmth(now, cold);
         if warmth < 1.0 {
+            // What was sent counts, whatever comes of it.
             self.recent.push_back((now, job.work));
             self.recent_work += job.work;
             while self.recent.front().is_some_and(|(at, _)| now - at > 1000.0) {
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -474,9 +474,9 @@
         self.event(Event::Restore(levels));
     }
 
-    /// What stores hold, a few customers at a time.
-    pub fn levels(&self, after: Option<u64>, most: usize) -> (Vec<Level>, Option<u64>) {
-        self.control.levels(after, most)
+    /// What stores hold, some parts of the customers at a time.
+    pub fn levels(&self, part: usize, most: usize) -> (Vec<Level>, Option<usize>) {
+        self.control.levels(part, most)
     }
 
     /// What a granted check took was not used.
--- a/src/bin/frostvale/link.rs
+++ b/src/bin/frostvale/link.rs
@@ -132,9 +132,9 @@
     ended: Cell<bool>,
 }
 
-/// How often a part of the stores is looked through, and how many at one stroke.
+/// How often stores are looked through, and how many parts of them at one stroke.
 const LOOK: Duration = Duration::from_millis(50);
-const LOOK_AT: usize = 2000;
+const LOOK_AT: usize = 8;
 /// Use that was not kept by then is reported again, so many batches at once.
 const AGAIN: Duration = Duration::from_secs(1);
 const AGAIN_AT_ONCE: usize = 8;
@@ -199,7 +199,7 @@
 
     /// The task that reports use, and what stores hold.
     pub async fn report(self: Rc<Self>, every: Duration) {
-        let (mut next, mut after) = (Instant::now() + every, None);
+        let (mut next, mut part) = (Instant::now() + every, 0);
         let mut again = Instant::now() + AGAIN;
         loop {
             sleep(LOOK.min(every)).await;
@@ -216,14 +216,14 @@
                 }
             }
             if line.peer.unread() < LEVELS_UNREAD {
-                after = self.tell_levels(&line.peer, after, LOOK_AT);
+                part = self.tell_levels(&line.peer, part, LOOK_AT).unwrap_or(0);
             }
         }
     }
 
-    /// Tells of stores that have changed since they were told of, of so many from a key on.
-    fn tell_levels(&self, peer: &Peer, after: Option<u64>, most: usize) -> Option<u64> {
-        let (levels, next) = self.gateway.borrow().levels(after, most);
+    /// Tells of stores that have changed since they were told of, of so many parts from one on.
+    fn tell_levels(&self, peer: &Peer, part: usize, most: usize) -> Option<usize> {
+        let (levels, next) = self.gateway.borrow().levels(part, most);
         let mut told = self.told.borrow_mut();
         if told.len() > TOLD_STORES {
             told.clear();
@@ -252,13 +252,10 @@
         }
         if let Some(line) = self.keeper() {
             self.told.borrow_mut().clear();
-            let mut after = None;
-            loop {
-                after = self.tell_levels(&line.peer, after, LOOK_AT);
+            let mut part = Some(0);
+            while let Some(from) = part.filter(|_| line.peer.unread() <= UNREAD_MOST / 2) {
+                part = self.tell_levels(&line.peer, from, LOOK_AT);
                 yield_now().await;
-                if after.is_none() || line.peer.unread() > UNREAD_MOST / 2 {
-                    break;
-                }
             }
         }
         self.close(true);
@@ -277,14 +274,11 @@
         let welcome = self.welcome();
         let mut gateway = self.gateway.borrow_mut();
         let mut levels = Vec::new();
-        let mut after = None;
-        loop {
-            let (some, next) = gateway.levels(after, 10_000);
+        let mut part = Some(0);
+        while let Some(from) = part.filter(|_| levels.len() < TOLD_STORES) {
+            let (some, next) = gateway.levels(from, LOOK_AT);
             levels.extend(some.iter().map(level_word));
-            after = next;
-            if next.is_none() || levels.len() >= TOLD_STORES {
-                break;
-            }
+            part = next;
         }
         let Some(usage) = gateway.usage().filter(|usage| !usage.settled()) else { return };
         let [passed, refused, served] = usage.sums().map(|milli| milli as f64 / 1000.0);
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,15 +6,16 @@
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
 use crate::api::*;
-use crate::index::Index;
+use crate::hands::{Hands, Waits};
+use crate::lots::Lots;
 use crate::note::{Item, key_of};
 use crate::post::Post;
+use crate::roster::Roster;
 use crate::state::*;
 use crate::swept::Swept;
-use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// How many times the accepts may be sent on: with success under 1/K all but the minimum is refused.
 const K: f64 = 2.0;
@@ -34,7 +35,7 @@
 const ROOM: f64 = 0.19;
 /// A request whose customer has all its places taken may wait this part of its aim for one.
 const WAIT: f64 = 0.5;
-/// What a keeper told fades over this time.
+/// What a keeper told fades over this time, and is not gone by any more after it.
 const FADE_MS: f64 = 2000.0;
 /// A keeper's silence past this part of the request's aim means that it is stalled or gone.
 const ASK_PART: f64 = 0.3;
@@ -86,6 +87,8 @@
 const RETRY_MOST: f64 = 10.0;
 /// A cold server gets this part of what its share of capacity would allow it.
 const COLD_PART: f64 = 0.9;
+/// All gateways together send it at most so many times what it is thought to bear.
+const COLD_TIMES: f64 = 1.5;
 /// How long a server without room rests, for each gateway, before one request looks again.
 const PEEK_MS: f64 = 250.0;
 const TICK: u64 = 1;
@@ -97,10 +100,9 @@
     now: f64,
     customers: Swept<Customer>,
     post: Post,
-    servers: BTreeMap<Name, Live>,
-    index: Index,
-    held: BTreeMap<u64, Held>,
-    waits: BTreeMap<u64, Job>,
+    servers: Roster,
+    held: Hands,
+    waits: Waits,
     asks: u64,
     fleet: Fleet,
     tier_of: Vec<Vec<usize>>,
@@ -150,10 +152,9 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
             customers: Swept::default(),
-            servers: BTreeMap::new(),
-            index: Index::default(),
-            held: BTreeMap::new(),
-            waits: BTreeMap::new(),
+            servers: Roster::default(),
+            held: Hands::default(),
+            waits: Waits::default(),
             asks: 0,
             post: Post::default(),
             fleet: Fleet { class_pace: vec![0.0; cfg.classes.len()], ..Fleet::default() },
@@ -194,20 +195,17 @@
     fn on_servers(&mut self, listing: Listing, lines: Vec<Server>) {
         if listing == Listing::Complete {
             let named: BTreeSet<&Name> = lines.iter().map(|s| &s.name).collect();
-            for (name, s) in &mut self.servers {
-                if !named.contains(name) {
-                    s.health = Health::Gone;
-                    self.index.down(name);
-                }
+            let mut gone = Vec::new();
+            for (number, s) in self.servers.all_mut().filter(|(_, s)| !named.contains(&s.name)) {
+                s.health = Health::Gone;
+                gone.push(number);
             }
+            gone.into_iter().for_each(|number| self.servers.down(number));
         }
+        let now = self.now;
         for line in lines {
-            let now = self.now;
-            match line.health {
-                Health::Up => self.index.up(&line.name, line.zone, line.cell),
-                _ => self.index.down(&line.name),
-            }
-            let s = self.servers.entry(line.name).or_insert_with(|| Live {
+            let (number, s) = self.servers.entry(&line.name, || Live {
+                name: line.name.clone(),
                 since: line.since,
                 sent_at: now,
                 kind: line.kind,
@@ -218,8 +216,12 @@
                 (s.pace, s.usual, s.reported, s.fail) = (None, 0.0, None, 0.0);
             }
             (s.zone, s.cell, s.health, s.since) = (line.zone, line.cell, line.health, line.since);
+            match line.health {
+                Health::Up => self.servers.up(number, line.zone, line.cell),
+                _ => self.servers.down(number),
+            }
         }
-        self.servers.retain(|_, s| s.health != Health::Gone || !s.out.is_empty());
+        self.servers.retain(|s| s.health != Health::Gone || !s.out.is_empty());
     }
 
     // ---- a request: bucket, ceiling, throttle, server ----
@@ -241,6 +243,7 @@
         let c = self.customer(key, name);
         let ms = now - c.slice_at;
         c.slice_at = now;
+        c.own *= (-ms / DEMAND_MS).exp();
         c.ceiling = (c.ceiling + plan.ceiling_rate / n * ms / 1000.0)
             .min((plan.ceiling_burst + plan.ceiling_slack) / n);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
@@ -248,7 +251,7 @@
             return self.refuse(&request, check);
         }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
-        let (at, demand, granted, _) = c.told.unwrap_or((f64::NEG_INFINITY, 0.0, 0.0, 0.0));
+        let (at, demand, granted) = (c.told.at, c.told.demand, c.told.granted);
         // Checks come to the keeper itself. Unthinned they would take each unit before others' requests can,
         // all thinned the keeper's own requests, which are not, would: so each is as one dealt out by lot.
         let kept = check && keeper == me;
@@ -264,8 +267,7 @@
         let chance = 1.0 - ((demand - ASK_MORE * granted.max(holds)) / (demand + units)).max(0.0);
         let chance = if lot * n < 1.0 { 1.0 } else { chance };
         let weight = units / chance;
-        c.own = c.own * (-(now - c.own_at) / DEMAND_MS).exp() + units * 1000.0 / DEMAND_MS;
-        c.own_at = now;
+        c.own += units * 1000.0 / DEMAND_MS;
         let ample = !limited && c.stock >= units;
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
@@ -332,8 +334,8 @@
 
     /// How long until store and ceiling, as far as they are known here, hold a request's units.
     fn room_in(&self, c: &Customer, request: &Request) -> f64 {
-        let plan = &self.cfg.plans[c.plan];
-        let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
+        let plan = &self.cfg.plans[c.plan as usize];
+        let (at, level) = c.known();
         let until = |at: f64, level: f64, rate: f64| {
             if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
         };
@@ -366,8 +368,8 @@
     fn verdict(&mut self, request: &Request, granted: bool) {
         let known = self.customers.get(&key_of(&request.customer));
         let (remaining, reset) = known.map_or((0.0, 0.0), |c| {
-            let plan = &self.cfg.plans[c.plan];
-            let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
+            let plan = &self.cfg.plans[c.plan as usize];
+            let (at, level) = c.known();
             let level = (level + plan.rate * (self.now - at) / 1000.0).min(plan.burst);
             let store = if plan.rate > 0.0 { level } else { f64::INFINITY };
             let ceiling = if plan.ceiling_rate > 0.0 { c.ceiling } else { f64::INFINITY };
@@ -388,7 +390,7 @@
         }
         let keeper = self.keeper(key, request);
         if let Some(c) = self.customers.get_mut(&key) {
-            let (plan, n) = (&self.cfg.plans[c.plan], f64::from(request.spread.max(1)));
+            let (plan, n) = (&self.cfg.plans[c.plan as usize], f64::from(request.spread.max(1)));
             c.ceiling = (c.ceiling + request.units).min((plan.ceiling_burst + plan.ceiling_slack) / n);
         }
         self.tell(key, keeper, request.plan, -request.units, None);
@@ -415,27 +417,27 @@
         }
     }
 
-    /// What stores hold, of so many customers after this key, and the key to go on from, none at the end.
+    /// What stores hold, of so many parts of the customers from this one on, and the part to go on from, none
+    /// at the end. A part has 256 at the most.
     #[must_use]
-    pub fn levels(&self, after: Option<u64>, most: usize) -> (Vec<Level>, Option<u64>) {
-        let from = after.map_or(0, |key| key + 1);
-        let level = |(key, c): (&u64, &Customer)| {
-            let (plan, parts) = (&self.cfg.plans[c.plan], f64::from(self.keepers(c.plan)));
-            let filled = c.level + plan.rate / parts * (self.now - c.at) / 1000.0;
-            let store = filled.min(plan.burst / parts);
-            Level { key: *key, plan: c.plan, store, ceiling: c.ceiling, seen: c.seen }
+    pub fn levels(&self, part: usize, most: usize) -> (Vec<Level>, Option<usize>) {
+        let level = |(key, c): (u64, &Customer)| {
+            let plan = c.plan as usize;
+            let (p, parts) = (&self.cfg.plans[plan], f64::from(self.keepers(plan)));
+            let filled = c.level + p.rate / parts * (self.now - c.at) / 1000.0;
+            let store = filled.min(p.burst / parts);
+            Level { key, plan, store, ceiling: c.ceiling, seen: c.seen }
         };
-        let all: Vec<Level> = self.customers.range(from..).take(most).map(level).collect();
-        let next = all.last().filter(|_| all.len() == most).map(|l| l.key);
-        (all, next)
+        let all = (part..part + most).map_while(|k| self.customers.part(k)).flatten().map(level).collect();
+        (all, self.customers.part(part + most).map(|_| part + most))
     }
 
     fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
         let p = &self.cfg.plans[plan];
         let (now, credit) = (self.now, self.rng.random::<f64>());
         // The ceiling's slice is empty at the start: a former life of this gateway may have spent it.
-        let c = self.customers.entry(key).or_insert_with(|| Customer {
-            plan,
+        let c = self.customers.entry(key, || Customer {
+            plan: plan as u32,
             at: now,
             level: p.burst,
             credit,
@@ -452,23 +454,27 @@
     fn wait(&mut self, job: Job) {
         let after = (job.until - self.now).max(0.0);
         self.actions.push(Action::SetTimer { token: TICK + job.number, after });
-        self.waits.insert(job.number, job);
+        self.waits.insert(job);
     }
 
     /// A wait has come to its end. With a silent keeper the request goes on by what is known here.
     fn on_waited(&mut self, number: u64) {
-        if self.waits.get(&number).is_none_or(|w| self.now + 0.1 < w.until) {
+        if self.waits.get(number).is_none_or(|w| self.now + 0.1 < w.until) {
             return;
         }
-        let Some(w) = self.waits.remove(&number) else { return };
+        let Some(w) = self.waits.remove(number) else { return };
         let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
         let open = if w.check { 0.0 } else { open };
         let lot = self.rng.random::<f64>();
+        let (now, units) = (self.now, w.request.units);
         let passes = !w.queued
             && self.customers.get_mut(&w.key).is_some_and(|c| {
-                let units = c.told.map_or(c.slice > 0.0, |(_, demand, granted, _)| lot * demand <= granted);
-                c.slice -= w.request.units;
-                units && (open <= 0.0 || f64::from(c.open) < open.max(1.0))
+                // Its word grows stale while demand changes: then this gateway's slice of the quota holds.
+                let heard = now - c.told.at <= FADE_MS;
+                let fits = if heard { lot * c.told.demand <= c.told.granted } else { c.slice > 0.0 };
+                let passes = fits && (open <= 0.0 || f64::from(c.open) < open.max(1.0));
+                c.slice = if passes { (c.slice - units).max(-units) } else { c.slice };
+                passes
             });
         if passes {
             if w.check {
@@ -492,7 +498,7 @@
             job.until = job.arrived + WAIT * self.cfg.classes[job.request.class].aim;
             job.until = job.until.min((job.arrived + job.request.give_up) / 2.0);
             job.queued = true;
-            let before = self.waits.values().filter(|w| w.key == job.key && w.queued).count();
+            let before = self.waits.of(job.key).filter(|w| w.queued).count();
             let slots = self.customers.get(&job.key).map_or(1, |c| c.slots);
             if self.now + self.fleet.took * (before + 1) as f64 / f64::from(slots) <= job.until {
                 return self.wait(job);
@@ -522,7 +528,7 @@
             c.open += 1;
         }
         let held = Held { job, attempts: 0, ended: false, sent_at: self.now, load: 0.0, may_run: None };
-        self.held.insert(id, held);
+        self.held.insert(held);
         self.send(id, server);
     }
 
@@ -536,30 +542,33 @@
 
     /// Brings a kept store up to now.
     fn refill(&mut self, key: u64) {
-        let Some(plan) = self.customers.get(&key).map(|c| c.plan) else { return };
+        let Some(plan) = self.customers.get(&key).map(|c| c.plan as usize) else { return };
         let parts = f64::from(self.keepers(plan));
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let plan = &self.cfg.plans[c.plan];
+        let plan = &self.cfg.plans[c.plan as usize];
         let ms = self.now - c.at;
         c.at = self.now;
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
-        while c.out.front().is_some_and(|(_, at)| self.now - at > LEASE * (self.fleet.took + 20.0)) {
-            c.out.pop_front();
+        let (now, lease) = (self.now, LEASE * (self.fleet.took + 20.0));
+        if let Some(p) = &mut c.places {
+            while p.out.front().is_some_and(|(_, at)| now - at > lease) {
+                p.out.pop_front();
+            }
+            p.queue.retain(|ask| ask.until > now);
         }
-        let now = self.now;
-        c.queue.retain(|ask| ask.until > now);
     }
 
     /// Hands free places to those that wait in line for one; who has no units left for it is told so.
     fn hand_out(&mut self, key: u64) {
         let now = self.now;
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let plan = &self.cfg.plans[c.plan];
+        let plan = &self.cfg.plans[c.plan as usize];
+        let Some(places) = &mut c.places else { return };
         let mut words = Vec::new();
-        while c.out.len() < plan.open as usize
-            && let Some(ask) = c.queue.pop_front()
+        while places.out.len() < plan.open as usize
+            && let Some(ask) = places.queue.pop_front()
         {
             if plan.rate > 0.0 && c.level < ask.units {
                 words.push((ask, Word::Deny, 0.0));
@@ -567,7 +576,7 @@
             }
             c.level -= ask.units;
             c.granted += ask.units * 1000.0 / DEMAND_MS;
-            c.out.push_back(((ask.from, ask.number), now));
+            places.out.push_back(((ask.from, ask.number), now));
             words.push((ask, Word::Grant, ask.units));
         }
         words.iter().for_each(|(ask, word, units)| self.answer(key, ask, *word, *units));
@@ -581,23 +590,24 @@
         self.hand_out(key);
         let (now, took) = (self.now, self.fleet.took);
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
-        let plan = &self.cfg.plans[c.plan];
+        let plan = &self.cfg.plans[c.plan as usize];
         c.demand += weight * 1000.0 / DEMAND_MS;
         let inside = plan.rate <= 0.0 || c.level >= ask.units;
-        let free = !ask.shared || (c.out.len() < plan.open as usize && c.queue.is_empty());
+        let (out, queued) = c.places.as_ref().map_or((0, 0), |p| (p.out.len(), p.queue.len()));
+        let free = !ask.shared || (out < plan.open as usize && queued == 0);
         if inside && free {
             // Of what is left beside, half at the most: others ask too.
             let units = ask.units + ask.extra.min((c.level - ask.units) / 2.0).max(0.0);
             c.level -= units;
             c.granted += units * 1000.0 / DEMAND_MS;
             if ask.shared {
-                c.out.push_back(((ask.from, ask.number), now));
+                c.places.get_or_insert_default().out.push_back(((ask.from, ask.number), now));
             }
             return (Word::Grant, units);
         }
-        let wait = took * (c.queue.len() + 1) as f64 / f64::from(plan.open.max(1));
+        let wait = took * (queued + 1) as f64 / f64::from(plan.open.max(1));
         if inside && !free && now + wait <= ask.until {
-            c.queue.push_back(ask);
+            c.places.get_or_insert_default().queue.push_back(ask);
             return (Word::Wait, 0.0);
         }
         (Word::Deny, 0.0)
@@ -608,9 +618,11 @@
         self.customer(key, plan);
         self.refill(key);
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let plan = &self.cfg.plans[c.plan];
+        let plan = &self.cfg.plans[c.plan as usize];
         c.level = (c.level - units).clamp(-plan.burst, plan.burst);
-        c.out.retain(|(id, _)| Some(*id) != place);
+        if let Some(p) = &mut c.places {
+            p.out.retain(|(id, _)| Some(*id) != place);
+        }
         self.hand_out(key);
     }
 
@@ -624,7 +636,7 @@
     }
 
     fn answered(&mut self, key: u64, keeper: u32, number: u64, word: Word, units: f64) {
-        match (self.waits.remove(&number), word) {
+        match (self.waits.remove(number), word) {
             (Some(w), Word::Grant) => {
                 self.spare(key, keeper, units - w.request.units, None);
                 self.admit(Job { place: Some(number), ..w });
@@ -638,8 +650,7 @@
             }
             // Too late: what was not sent on meanwhile goes back.
             (None, Word::Grant) => {
-                let out = self.held.values_mut().find(|h| h.job.number == number && h.job.place.is_none());
-                if let Some(h) = out {
+                if let Some(h) = self.held.by_number(number).filter(|h| h.job.place.is_none()) {
                     h.job.place = Some(number);
                 } else {
                     self.spare(key, keeper, units, Some(number));
@@ -652,7 +663,8 @@
     /// Units granted and not sent on: kept here where the next requests will want them, else given back.
     fn spare(&mut self, key: u64, keeper: u32, units: f64, place: Option<u64>) {
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let (name, plan) = (c.plan, &self.cfg.plans[c.plan]);
+        let name = c.plan as usize;
+        let plan = &self.cfg.plans[name];
         let shared = plan.open > 0 && c.slots == u32::MAX;
         if !shared && keeper != self.cfg.me && c.own * STOCK_MS / 500.0 >= units + c.stock {
             c.stock += units;
@@ -721,12 +733,16 @@
         self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age
     }
 
+    /// What this gateway has out at a server on average, and what the peers together have there: as this one
+    /// on average, or as fresh reports from any server say.
+    fn means(&self) -> (f64, f64) {
+        let mean = self.mean_out() / self.servers.len().max(1) as f64;
+        (mean, self.mixed(self.fleet.reported, mean * f64::from(self.cfg.gateways - 1)))
+    }
+
     /// What is thought to be in flight at a server, from all gateways.
-    fn load(&self, s: &Live) -> f64 {
+    fn load(&self, s: &Live, (mean, fleet): (f64, f64)) -> f64 {
         let peers = f64::from(self.cfg.gateways - 1);
-        let mean = self.mean_out() / self.servers.len().max(1) as f64;
-        // The peers together: as this gateway on average, or as fresh reports from any server say.
-        let fleet = self.mixed(self.fleet.reported, mean * peers);
         // Peers see much the same rush: the mean alone lags behind a queue that all build at once.
         let usual = s.usual_now(self.now).max(ALIKE * s.out.len() as f64);
         let usual = (fleet + (usual - mean) * peers.min(ALIKE_PEERS)).max(0.0);
@@ -750,13 +766,13 @@
     }
 
     /// The time an answer should take from this server.
-    fn foreseen(&self, s: &Live, class: usize) -> f64 {
+    fn foreseen(&self, s: &Live, class: usize, means: (f64, f64)) -> f64 {
         let weight = match (self.fleet.class_pace[class], self.fleet.pace) {
             (c, Some(fleet)) if c > 0.0 && fleet > 0.0 => c / fleet,
             _ => 1.0,
         };
         let oldest = s.out.values().copied().fold(self.now, f64::min);
-        (weight * self.pace(s) * slowdown(self.load(s))).max(0.5 * (self.now - oldest))
+        (weight * self.pace(s) * slowdown(self.load(s, means))).max(0.5 * (self.now - oldest))
     }
 
     /// The server with the least expected time of some drawn by lot that have room: not foreseen to
@@ -769,23 +785,30 @@
         group: Option<(Group, u32, u32)>,
         avoid: Option<&Name>,
     ) -> Option<Name> {
-        let drawn = self.index.of(group);
+        let drawn = self.servers.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
             .clamp(LOOK, LOOK_MOST)
             .min(drawn.len() as f64);
         // Of a large fleet no more are drawn than are likely to hold so many with room.
-        let lots = sample(&mut self.rng, drawn.len(), drawn.len().min(DRAW_MOST));
+        let mut lots = Lots::new(drawn.len(), DRAW_MOST, &mut self.rng);
         let aim = self.cfg.classes[class].aim;
-        let mut best: Option<(f64, Name)> = None;
+        let means = self.means();
+        let mut best: Option<(f64, u32)> = None;
         let mut seen = 0.0;
-        for name in lots.iter().map(|k| &drawn[k]).filter(|name| avoid != Some(name)) {
-            let Some(s) = self.servers.get(name) else { continue };
+        while let Some(k) = lots.next(&mut self.rng) {
+            let number = drawn[k];
+            let Some(s) = self.servers.at(number).filter(|s| avoid != Some(&s.name)) else { continue };
             let warmth = self.warmth(s);
             // Were it chosen each time, a cold server would get its part of a warm one's share.
             if warmth < 1.0 && self.rng.random::<f64>() >= COLD_PART * warmth / look {
                 continue;
             }
-            let time = self.foreseen(s, class);
+            // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
+            let gap = self.pace(s) * f64::from(self.cfg.gateways) / (COLD_TIMES * SIDE_BY_SIDE);
+            if warmth < 1.0 && self.now - s.sent_at < gap {
+                continue;
+            }
+            let time = self.foreseen(s, class, means);
             // Where nothing of ours is out or has lately gone there is room for one: else nothing more
             // would be learned. All gateways do so, hence the gap grows with their number.
             let quiet = s.out.is_empty() && self.now - s.sent_at > PEEK_MS * f64::from(self.cfg.gateways);
@@ -797,14 +820,14 @@
             let cost = (time * cross + (fail - self.fleet.fail).max(0.0) * aim)
                 * (1.0 + 0.1 * self.rng.random::<f64>());
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, name.clone()));
+                best = Some((cost, number));
             }
             seen += 1.0;
             if seen >= look {
                 break;
             }
         }
-        best.map(|(_, name)| name)
+        best.and_then(|(_, number)| self.servers.at(number)).map(|s| s.name.clone())
     }
 
     /// What this gateway has out at all servers on average over time: over longer the fewer it sees.
@@ -816,10 +839,10 @@
 
     fn send(&mut self, id: u64, server: Name) {
         let Some(s) = self.servers.get(&server) else { return };
-        let load = self.load(s);
+        let load = self.load(s, self.means());
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
         self.fleet.in_flight += 1;
-        let (Some(s), Some(h)) = (self.servers.get_mut(&server), self.held.get_mut(&id)) else { return };
+        let (Some(s), Some(h)) = (self.servers.get_mut(&server), self.held.get_mut(id)) else { return };
         s.average(self.now);
         s.out.insert(id, self.now);
         s.sent_at = self.now;
@@ -834,8 +857,8 @@
     }
 
     fn on_left(&mut self, id: u64) {
-        self.waits.retain(|_, w| w.request.id != id);
-        let Some(h) = self.held.get_mut(&id) else { return };
+        self.waits.remove_id(id);
+        let Some(h) = self.held.get_mut(id) else { return };
         h.ended = true;
         let (tier, late) = (h.job.tier, self.now - h.job.arrived > self.cfg.classes[h.job.request.class].aim);
         if late {
@@ -847,7 +870,7 @@
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
         let guess = self.servers.get(&o.server).map_or(0.0, |s| self.pace(s));
         let warmth = self.servers.get(&o.server).map_or(1.0, |s| self.warmth(s));
-        let Some(h) = self.held.get_mut(&o.id) else { return };
+        let Some(h) = self.held.get_mut(o.id) else { return };
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
         let (plan, units) = (h.job.request.plan, h.job.request.units);
         let ran = !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::Moot);
@@ -892,7 +915,7 @@
             }
         }
         self.tell(key, keeper, plan, o.units.map_or(0.0, |all| all - units), None);
-        let Some(h) = self.held.get(&o.id) else { return };
+        let Some(h) = self.held.get(o.id) else { return };
         if h.ended {
             self.finish(o.id);
             return;
@@ -921,15 +944,15 @@
 
     /// Forgets a request whose last attempt has ended, and gives its place back.
     fn finish(&mut self, id: u64) -> Option<Held> {
-        let h = self.held.remove(&id)?;
+        let h = self.held.remove(id)?;
         if let Some(c) = self.customers.get_mut(&h.job.key) {
             c.open = c.open.saturating_sub(1);
         }
         let own = self.customers.get(&h.job.key).is_some_and(|c| c.slots < u32::MAX);
         if own || h.job.place.is_some() && self.cfg.plans[h.job.request.plan].open > 0 {
             // Its next one here takes the place at once: each way to the keeper leaves it empty.
-            let next = self.waits.values().find(|w| w.key == h.job.key && !w.check && (w.queued || !own));
-            match next.map(|w| w.number).and_then(|k| self.waits.remove(&k)) {
+            let next = self.waits.of(h.job.key).find(|w| !w.check && (w.queued || !own));
+            match next.map(|w| w.number).and_then(|k| self.waits.remove(k)) {
                 Some(w) if own => self.admit(w),
                 Some(w) => {
                     self.tell(w.key, w.keeper, w.request.plan, w.request.units, None);
@@ -944,7 +967,7 @@
 
     /// The server for a further attempt, if one is allowed, affordable and still of use.
     fn again(&mut self, o: &Outcome) -> Option<Name> {
-        let h = self.held.get(&o.id)?;
+        let h = self.held.get(o.id)?;
         let class = &self.cfg.classes[h.job.request.class];
         let most = (h.job.arrived + class.aim).min(h.job.request.give_up) - self.now;
         let group = match (class.effect, h.may_run) {
@@ -983,7 +1006,9 @@
         }
         let now = self.now;
         self.customers.sweep(now, IDLE_MS / 10.0, |c| {
-            c.open > 0 || now - c.seen < IDLE_MS || c.queue.iter().any(|ask| ask.until > now)
+            c.open > 0
+                || now - c.seen < IDLE_MS
+                || c.places.as_ref().is_some_and(|p| p.queue.iter().any(|ask| ask.until > now))
         });
     }
 
@@ -1000,7 +1025,7 @@
                 }
                 Item::Answer { number, word, units, demand, granted, level } => {
                     if let Some(c) = self.customers.get_mut(&key) {
-                        c.told = Some((self.now, demand, granted, level));
+                        c.told = Told { at: self.now, demand, granted, level };
                     }
                     self.answered(key, from, number, word, units);
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,9 +32,11 @@
 mod api;
 mod conf;
 mod control;
-mod index;
+mod hands;
+mod lots;
 mod note;
 mod post;
+mod roster;
 mod state;
 mod swept;
 
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,185 @@
+//! The servers that are known, each at a number of its own, and those among them that may be sent to, all and by group, so
+//! that a choice need not look at the whole list. Kept up to date by events; nothing is decided here.
+
+use crate::api::{Group, Name};
+use crate::state::Live;
+use std::collections::{BTreeMap, HashMap};
+
+/// A set that gives its members by number, in no order, in constant time each.
+#[derive(Default)]
+struct Numbered {
+    members: Vec<u32>,
+    places: HashMap<u32, usize>,
+}
+
+impl Numbered {
+    fn insert(&mut self, member: u32) {
+        self.places.entry(member).or_insert_with(|| {
+            self.members.push(member);
+            self.members.len() - 1
+        });
+    }
+
+    fn remove(&mut self, member: u32) {
+        let Some(at) = self.places.remove(&member) else { return };
+        self.members.swap_remove(at);
+        if let Some(moved) = self.members.get(at) {
+            self.places.insert(*moved, at);
+        }
+    }
+}
+
+/// The servers.
+#[derive(Default)]
+pub(crate) struct Roster {
+    by_name: HashMap<Name, u32>,
+    servers: Vec<Option<Live>>,
+    free: Vec<u32>,
+    all: Numbered,
+    zones: BTreeMap<u32, Numbered>,
+    cells: BTreeMap<u32, Numbered>,
+    /// Where each of those that are up stands: zone and cell.
+    where_at: HashMap<u32, (u32, u32)>,
+}
+
+impl Roster {
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    pub fn number(&self, name: &Name) -> Option<u32> {
+        self.by_name.get(name).copied()
+    }
+
+    pub fn at(&self, number: u32) -> Option<&Live> {
+        self.servers.get(number as usize)?.as_ref()
+    }
+
+    pub fn get(&self, name: &Name) -> Option<&Live> {
+        self.at(self.number(name)?)
+    }
+
+    pub fn get_mut(&mut self, name: &Name) -> Option<&mut Live> {
+        let number = self.number(name)?;
+        self.servers.get_mut(number as usize)?.as_mut()
+    }
+
+    /// The server of this name and its number, made if it is not known.
+    pub fn entry(&mut self, name: &Name, make: impl FnOnce() -> Live) -> (u32, &mut Live) {
+        let number = self.number(name).unwrap_or_else(|| {
+            let number = self.free.pop().unwrap_or_else(|| {
+                self.servers.push(None);
+                self.servers.len() as u32 - 1
+            });
+            self.by_name.insert(name.clone(), number);
+            number
+        });
+        (number, self.servers[number as usize].get_or_insert_with(make))
+    }
+
+    /// Every known server.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = (u32, &mut Live)> {
+        self.servers.iter_mut().enumerate().filter_map(|(k, s)| Some((k as u32, s.as_mut()?)))
+    }
+
+    /// Forgets servers that do not stay.
+    pub fn retain(&mut self, stays: impl Fn(&Live) -> bool) {
+        let going = |s: &Option<Live>| s.as_ref().is_some_and(|s| !stays(s));
+        let gone: Vec<u32> =
+            (0..self.servers.len()).filter(|k| going(&self.servers[*k])).map(|k| k as u32).collect();
+        for number in gone {
+            self.down(number);
+            if let Some(s) = self.servers[number as usize].take() {
+                self.by_name.remove(&s.name);
+                self.free.push(number);
+            }
+        }
+    }
+
+    /// A server is up, in this zone and cell. One that stood elsewhere has moved.
+    pub fn up(&mut self, number: u32, zone: u32, cell: u32) {
+        if self.where_at.get(&number) == Some(&(zone, cell)) {
+            return;
+        }
+        self.down(number);
+        self.where_at.insert(number, (zone, cell));
+        self.all.insert(number);
+        self.zones.entry(zone).or_default().insert(number);
+        self.cells.entry(cell).or_default().insert(number);
+    }
+
+    /// A server is not to be sent to any more.
+    pub fn down(&mut self, number: u32) {
+        let Some((zone, cell)) = self.where_at.remove(&number) else { return };
+        self.all.remove(number);
+        for (groups, at) in [(&mut self.zones, zone), (&mut self.cells, cell)] {
+            if let Some(group) = groups.get_mut(&at) {
+                group.remove(number);
+                if group.members.is_empty() {
+                    groups.remove(&at);
+                }
+            }
+        }
+    }
+
+    /// The candidates of a group, or all of them.
+    pub fn of(&self, group: Option<(Group, u32, u32)>) -> &[u32] {
+        let group = match group {
+            Some((Group::Zone, zone, _)) => self.zones.get(&zone),
+            Some((Group::Cell, _, cell)) => self.cells.get(&cell),
+            _ => Some(&self.all),
+        };
+        group.map_or(&[], |g| &g.members)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Whatever comes, goes and moves, each group holds just its own, once, and a number means one server.
+        #[test]
+        fn each_group_holds_its_own(events in prop::collection::vec((0u8..20, 0u32..3, 0u32..4, 0u8..3), 0..200)) {
+            let (mut roster, mut model) = (Roster::default(), BTreeMap::new());
+            let mut known: BTreeMap<Name, u32> = BTreeMap::new();
+            for (k, zone, cell, what) in events {
+                let name: Name = format!("s{k}").as_str().into();
+                let (number, _) = roster.entry(&name, || Live { name: name.clone(), ..Live::default() });
+                prop_assert_eq!(*known.entry(name.clone()).or_insert(number), number);
+                match what {
+                    0 => {
+                        roster.up(number, zone, cell);
+                        model.insert(name, (zone, cell));
+                    }
+                    1 => {
+                        roster.down(number);
+                        model.remove(&name);
+                    }
+                    _ => {
+                        roster.retain(|s| s.name != name);
+                        model.remove(&name);
+                        known.remove(&name);
+                    }
+                }
+                prop_assert_eq!(roster.len(), known.len());
+            }
+            prop_assert!(known.iter().all(|(name, number)| roster.at(*number).is_some_and(|s| s.name == *name)));
+            let sorted = |members: &[u32]| {
+                let mut names: Vec<Name> =
+                    members.iter().filter_map(|k| roster.at(*k)).map(|s| s.name.clone()).collect();
+                names.sort();
+                names
+            };
+            let of = |so: &dyn Fn(&(u32, u32)) -> bool| -> Vec<Name> {
+                model.iter().filter(|(_, at)| so(at)).map(|(name, _)| name.clone()).collect()
+            };
+            prop_assert_eq!(sorted(roster.of(None)), of(&|_| true));
+            for k in 0..4 {
+                prop_assert_eq!(sorted(roster.of(Some((Group::Zone, k, 9)))), of(&|at| at.0 == k));
+                prop_assert_eq!(sorted(roster.of(Some((Group::Cell, 9, k)))), of(&|at| at.1 == k));
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,34 +10,61 @@
 /// holds the store; each of the others meets its demand by what the keeper last told.
 #[derive(Default)]
 pub(crate) struct Customer {
-    pub plan: usize,
+    pub plan: u32,
     pub seen: f64,
-    /// At its keeper: the store as of `at`, the demand of all, the places out and who waits for one.
+    /// At its keeper: the store as of `at`, the demand of all, and the places.
     pub at: f64,
     pub level: f64,
     pub demand: f64,
     pub granted: f64,
-    pub out: VecDeque<((u32, u64), f64)>,
-    pub queue: VecDeque<Ask>,
+    pub places: Option<Box<Places>>,
     /// Elsewhere: when the keeper last told, and of what demand, grants and store.
-    pub told: Option<(f64, f64, f64, f64)>,
+    pub told: Told,
     /// The part of requests that may ask, saved up; this gateway's own demand; what it was granted
     /// and has not yet sent on; when it last asked for more.
     pub credit: f64,
     pub own: f64,
-    pub own_at: f64,
     pub stock: f64,
     pub asked_at: f64,
     pub untold: f64,
     /// What this gateway has out, and the most where each has places of its own.
     pub open: u32,
     pub slots: u32,
-    /// This gateway's slices of the ceiling and of the quota, as of `slice_at`.
+    /// This gateway's slices of the ceiling and of the quota, as of `slice_at`; its own demand is too.
     pub ceiling: f64,
     pub slice: f64,
     pub slice_at: f64,
 }
 
+/// A customer's places out and who waits for one, at its keeper, in a plan that caps these.
+#[derive(Default)]
+pub(crate) struct Places {
+    pub out: VecDeque<((u32, u64), f64)>,
+    pub queue: VecDeque<Ask>,
+}
+
+/// What a keeper last told, and when; long ago means never.
+#[derive(Clone, Copy)]
+pub(crate) struct Told {
+    pub at: f64,
+    pub demand: f64,
+    pub granted: f64,
+    pub level: f64,
+}
+
+impl Default for Told {
+    fn default() -> Self {
+        Told { at: f64::NEG_INFINITY, demand: 0.0, granted: 0.0, level: 0.0 }
+    }
+}
+
+impl Customer {
+    /// The store as it was last known here, and as of when.
+    pub fn known(&self) -> (f64, f64) {
+        if self.told.at.is_finite() { (self.told.at, self.told.level) } else { (self.at, self.level) }
+    }
+}
+
 /// A gateway's question to a customer's keeper: may this request be sent on?
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Ask {
@@ -77,6 +104,7 @@
 /// What is known of a server.
 #[derive(Default)]
 pub(crate) struct Live {
+    pub name: Name,
     pub zone: u32,
     pub cell: u32,
     pub health: Health,
--- a/src/swept.rs
+++ b/src/swept.rs
@@ -1,65 +1,105 @@
-//! A map whose idle entries are forgotten a few at a time, so that no sweep stops the gateway. What is idle is decided by
-//! who asks.
+//! A map whose entries stand side by side in parts that never move, and whose idle ones are forgotten a few at a time:
+//! nothing that it does stops the gateway, however many there are. What is idle is decided by who asks.
+//!
+//! An ordered index of keys beside it, not a hash: its growth moves a few entries at a time, and no choice of names by
+//! a client makes it slow.
 
 use std::collections::BTreeMap;
-use std::ops::{Deref, DerefMut};
 
-/// So many entries are looked at in one go.
+/// So many entries are looked at in one go, and stand in one part.
 const PART: usize = 256;
+/// No key: the entry is free.
+const NONE: u64 = u64::MAX;
 
 /// The map.
 pub(crate) struct Swept<T> {
-    map: BTreeMap<u64, T>,
-    /// When a part was last swept, and where the next one begins.
+    index: BTreeMap<u64, u32>,
+    parts: Vec<Vec<(u64, T)>>,
+    free: Vec<u32>,
+    /// When a part was last swept, and which is next.
     at: f64,
-    from: u64,
+    next: usize,
 }
 
 impl<T> Default for Swept<T> {
     fn default() -> Self {
-        Swept { map: BTreeMap::new(), at: 0.0, from: 0 }
+        Swept { index: BTreeMap::new(), parts: Vec::new(), free: Vec::new(), at: 0.0, next: 0 }
     }
 }
 
-impl<T> Deref for Swept<T> {
-    type Target = BTreeMap<u64, T>;
+impl<T: Default> Swept<T> {
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
 
-    fn deref(&self) -> &Self::Target {
-        &self.map
+    pub fn contains_key(&self, key: &u64) -> bool {
+        self.index.contains_key(key)
     }
-}
 
-impl<T> DerefMut for Swept<T> {
-    fn deref_mut(&mut self) -> &mut Self::Target {
-        &mut self.map
+    pub fn get(&self, key: &u64) -> Option<&T> {
+        let place = *self.index.get(key)? as usize;
+        Some(&self.parts[place / PART][place % PART].1)
+    }
+
+    pub fn get_mut(&mut self, key: &u64) -> Option<&mut T> {
+        let place = *self.index.get(key)? as usize;
+        Some(&mut self.parts[place / PART][place % PART].1)
+    }
+
+    /// The entry of a key, made if it is not there.
+    pub fn entry(&mut self, key: u64, make: impl FnOnce() -> T) -> &mut T {
+        let (parts, free) = (&mut self.parts, &mut self.free);
+        let place = *self.index.entry(key).or_insert_with(|| {
+            let place = free.pop().unwrap_or_else(|| {
+                if parts.last().is_none_or(|part| part.len() == PART) {
+                    parts.push(Vec::with_capacity(PART));
+                }
+                let last = parts.len() - 1;
+                parts[last].push((NONE, T::default()));
+                (last * PART + parts[last].len() - 1) as u32
+            });
+            parts[place as usize / PART][place as usize % PART] = (key, make());
+            place
+        }) as usize;
+        &mut self.parts[place / PART][place % PART].1
+    }
+
+    /// Entries of one part, by its number, with their keys; none past the last part.
+    pub fn part(&self, number: usize) -> Option<impl Iterator<Item = (u64, &T)>> {
+        let part = self.parts.get(number)?;
+        Some(part.iter().filter(|(key, _)| *key != NONE).map(|(key, it)| (*key, it)))
     }
-}
 
-impl<T> Swept<T> {
     /// Looks at the next part if its time has come, so that all are looked at about every `round` ms, and forgets
     /// what does not stay.
     pub fn sweep(&mut self, now: f64, round: f64, stays: impl Fn(&T) -> bool) {
-        if (now - self.at) * self.map.len() as f64 <= round * PART as f64 && now - self.at <= round {
+        if (now - self.at) * self.parts.len() as f64 <= round && now - self.at <= round {
             return;
         }
         self.at = now;
-        let part: Vec<(u64, bool)> =
-            self.map.range(self.from..).take(PART).map(|(key, it)| (*key, stays(it))).collect();
-        self.from = part.last().filter(|_| part.len() == PART).map_or(0, |(key, _)| key.wrapping_add(1));
-        for (key, _) in part.iter().filter(|(_, stays)| !stays) {
-            self.map.remove(key);
+        self.next = if self.next < self.parts.len() { self.next } else { 0 };
+        let Some(part) = self.parts.get_mut(self.next) else { return };
+        for (k, entry) in part.iter_mut().enumerate().filter(|(_, (key, it))| *key != NONE && !stays(it)) {
+            self.index.remove(&entry.0);
+            self.free.push((self.next * PART + k) as u32);
+            *entry = (NONE, T::default());
         }
+        self.next += 1;
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
 
     #[test]
     fn all_that_is_idle_goes_within_two_rounds_and_never_much_at_once() {
         let mut map: Swept<bool> = Swept::default();
-        map.extend((0..100_000u64).map(|k| (k * 31, k % 3 == 0)));
+        for k in 0..100_000u64 {
+            map.entry(k * 31, || k % 3 == 0);
+        }
         let mut now = 0.0;
         while now < 12_000.0 {
             let before = map.len();
@@ -67,17 +107,43 @@
             assert!(before - map.len() <= PART);
             now += 1.0;
         }
-        assert!(map.values().all(|stays| *stays));
-        assert_eq!(map.len(), 33_334);
+        let all: usize = (0..map.parts.len()).filter_map(|k| map.part(k)).map(Iterator::count).sum();
+        assert_eq!((map.len(), all), (33_334, 33_334));
+        // What comes next takes the places that came free.
+        let parts = map.parts.len();
+        for k in 0..60_000u64 {
+            map.entry(k * 31 + 1, || true);
+        }
+        assert_eq!(map.parts.len(), parts);
     }
 
     #[test]
     fn a_few_are_swept_as_seldom_as_they_were() {
         let mut map: Swept<bool> = Swept::default();
-        map.insert(7, false);
+        map.entry(7, || false);
         map.sweep(6000.0, 6000.0, |stays| *stays);
         assert_eq!(map.len(), 1);
         map.sweep(6001.0, 6000.0, |stays| *stays);
         assert_eq!(map.len(), 0);
     }
+
+    proptest! {
+        /// Whatever comes and goes, it holds what a plain map holds.
+        #[test]
+        fn it_is_a_map(events in prop::collection::vec((0u64..600, any::<u8>()), 0..2000)) {
+            let (mut map, mut model) = (Swept::<u8>::default(), BTreeMap::new());
+            for (k, (key, value)) in events.into_iter().enumerate() {
+                if value % 7 == 0 {
+                    map.sweep(k as f64 * 100.0, 1.0, |it| it % 5 != 0);
+                    let swept: Vec<u64> = model.keys().copied().filter(|key| !map.contains_key(key)).collect();
+                    prop_assert!(swept.iter().all(|key| model[key] % 5 == 0));
+                    model.retain(|key, _| !swept.contains(key));
+                } else {
+                    prop_assert_eq!(*map.entry(key, || value), *model.entry(key).or_insert(value));
+                }
+                prop_assert_eq!(map.len(), model.len());
+            }
+            prop_assert!(model.iter().all(|(key, value)| map.get(key) == Some(value)));
+        }
+    }
 }
