Bound what a cut costs, bench the module at size, and page the simulation

Change: frostvale_sim::bound states how far a shop gets beyond its quota while a part of its set is cut off from its keeper, with the proof; a test holds the busiest shop of every plan to it. benches/size.rs gives costs as ratios in one run.

--- /dev/null
+++ b/benches/size.rs
@@ -0,0 +1,142 @@
+//! The decision module at size, as ratios in one run: what a request costs with 9 to 5,000 servers, and with a million
+//! customers the longest stop and the bytes that one takes. `cargo bench --bench size`.
+
+use frostvale::{
+    Action, Class, Control, Effect, Ending, Event, Health, Listing, Name, Outcome, Plan, Request, Server,
+    Settings,
+};
+use std::time::Instant;
+
+const REQUESTS: u64 = 200_000;
+
+fn gatekeeper(servers: u32) -> Control {
+    let settings = Settings {
+        gateways: 1,
+        classes: vec![Class { effect: Effect::Safe, aim: 500.0, worth: 1.0, ..Class::default() }],
+        plans: vec![Plan { rate: 1e6, burst: 1e6, price: 1.0, ..Plan::default() }],
+        ..Settings::default()
+    };
+    let mut g = Control::new(settings, 7).expect("sound settings");
+    let server = |k| Server {
+        name: format!("s{k}").as_str().into(),
+        zone: k % 3,
+        cell: k % 30,
+        kind: 0,
+        size: 1.0,
+        health: Health::Up,
+        since: 0.0,
+    };
+    let servers = (0..servers).map(server).collect();
+    g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+    g
+}
+
+fn names(count: u64) -> Vec<Name> {
+    (0..count).map(|k| format!("{:016x}", k * 7919).as_str().into()).collect()
+}
+
+/// One request to its end, in microseconds; whether it was served.
+fn serve(g: &mut Control, id: u64, now: f64, customer: &Name) -> (f64, bool) {
+    let request = Request {
+        id,
+        customer: customer.clone(),
+        class: 0,
+        plan: 0,
+        units: 1.0,
+        first: 0,
+        spread: 1,
+        give_up: now + 1000.0,
+        repeat: false,
+    };
+    let begun = Instant::now();
+    let actions = g.handle(now, Event::Request(request));
+    let server = actions.into_iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(server),
+        _ => None,
+    });
+    let served = server.is_some();
+    if let Some(server) = server {
+        let outcome = Outcome {
+            id,
+            attempt: 0,
+            server,
+            ending: Ending::Ok,
+            latency: 0.01,
+            last: true,
+            metered: None,
+            units: None,
+            report: None,
+        };
+        g.handle(now + 0.01, Event::Outcome(outcome));
+    }
+    (begun.elapsed().as_secs_f64() * 1e6, served)
+}
+
+/// Microseconds a request, the median of five rounds.
+fn cost(servers: u32) -> f64 {
+    let mut g = gatekeeper(servers);
+    let names = names(2000);
+    let mut rounds: Vec<f64> = (0..5)
+        .map(|round| {
+            let all = (0..REQUESTS / 5).map(|k| {
+                let id = round * REQUESTS / 5 + k;
+                let (us, served) = serve(&mut g, id, 1.0 + id as f64 * 0.05, &names[(k % 2000) as usize]);
+                assert!(served, "refused with room");
+                us
+            });
+            all.sum::<f64>() / (REQUESTS / 5) as f64
+        })
+        .collect();
+    rounds.sort_by(f64::total_cmp);
+    rounds[2]
+}
+
+fn resident() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|n| n.parse::<f64>().ok()).unwrap_or(f64::NAN) * 4096.0
+}
+
+fn main() {
+    let small = cost(9);
+    println!("9 servers: {small:.2} us a request");
+    for servers in [100, 1000, 5000] {
+        let us = cost(servers);
+        println!("{servers} servers: {us:.2} us a request, {:.2} times that with 9", us / small);
+    }
+    const CUSTOMERS: u64 = 1_000_000;
+    let names = names(CUSTOMERS);
+    let mut g = gatekeeper(9);
+    // Its memory is there before the customers' is measured.
+    let mut stops = vec![1.0; 2 * CUSTOMERS as usize];
+    stops.clear();
+    let before = resident();
+    let mut sum = 0.0;
+    // Every customer comes; then a few go on while all the others are forgotten.
+    for k in 0..2 * CUSTOMERS {
+        let (now, who) = if k < CUSTOMERS {
+            (1.0 + k as f64 * 0.02, k)
+        } else {
+            (20_000.0 + (k - CUSTOMERS) as f64 * 0.1, k % 100)
+        };
+        let (us, _) = serve(&mut g, k, now, &names[who as usize]);
+        sum += us;
+        stops.push(us);
+        if k + 1 == CUSTOMERS {
+            println!(
+                "{CUSTOMERS} customers: {:.0} bytes each, {:.2} us a request",
+                (resident() - before) / CUSTOMERS as f64,
+                sum / CUSTOMERS as f64
+            );
+        }
+    }
+    stops.sort_by(f64::total_cmp);
+    let at = |part: f64| stops[(part * (stops.len() - 1) as f64) as usize] / 1000.0;
+    println!(
+        "stops over both, in ms: p99.9 {:.3}, p99.999 {:.3}, the ten longest {:.3} to {:.3}",
+        at(0.999),
+        at(0.99999),
+        stops[stops.len() - 10] / 1000.0,
+        at(1.0)
+    );
+    println!("{} customers are left", g.levels(0, usize::MAX / 2).0.len());
+}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -17,6 +17,7 @@
 //! # Ok::<(), String>(())
 //! ```
 
+pub mod bound;
 mod expect;
 mod formula;
 mod oracle;
--- a/crates/sim/src/page.rs
+++ b/crates/sim/src/page.rs
@@ -48,7 +48,7 @@
     let _ = writeln!(
         out,
         "servers: {} took attempts, {:.3} busy on average, {:.3} the busiest; notes: {:.0} bytes each, {:.4} lost, {} to \
-         one gatekeeper in its worst second; ceiling's slack used {:.3}; p50 {:.1} ms, longest {:.0} ms",
+         one gatekeeper in its worst second; ceiling's slack used {:.3}; {:.6} of attempts to sick servers; p50 {:.1} ms, longest {:.0} ms",
         busy.len(),
         mean,
         busy.iter().copied().fold(0.0, f64::max),
@@ -56,6 +56,7 @@
         r.notes_lost,
         r.notes_peak,
         r.ceiling_used,
+        r.sick,
         r.ms.p50,
         r.ms.max
     );
--- a/crates/sim/src/tally.rs
+++ b/crates/sim/src/tally.rs
@@ -34,6 +34,8 @@
     pub over: f64,
     /// The most that one shop passed beyond its quota, as a part of what it passed.
     pub worst_shop: f64,
+    /// The most units that one shop passed beyond its quota.
+    pub worst_over: f64,
     #[serde(skip)]
     worth: f64,
     #[serde(skip)]
@@ -280,6 +282,8 @@
     /// The report; what servers came to and the oracle's word are put in by the world.
     pub fn report(mut self, scenario: &Scenario, seed: u64) -> Report {
         for (k, plan) in self.plans.iter_mut().enumerate() {
+            let of_plan = self.quotas.iter().filter(|q| q.plan == k);
+            plan.worst_over = of_plan.map(|q| q.over).fold(0.0, f64::max);
             let busy = |q: &&Quota| q.plan == k && q.units > 20.0;
             let of_plan = self.quotas.iter().filter(busy);
             plan.worst_shop = of_plan.map(|q| q.over / q.units).fold(0.0, f64::max);
--- a/crates/sim/tests/days.rs
+++ b/crates/sim/tests/days.rs
@@ -1,5 +1,6 @@
 //! Every scenario in `scenarios/`, any day that faults make, and the same bytes each time.
 
+use frostvale_sim::bound::{self, Cut};
 use frostvale_sim::scenario::{Fault, Kind};
 use frostvale_sim::{Report, Scenario, page, real, run};
 use proptest::prelude::*;
@@ -111,3 +112,32 @@
         prop_assert!(report.broken.is_none(), "{}\n{}", scenario.write().expect("TOML"), page::text(&report));
     }
 }
+
+/// Two halves for 30 s under five times the demand: no shop of any plan gets further beyond its quota than is stated, and
+/// the statement is not a loose one.
+#[test]
+fn the_halves_stay_within_what_is_stated() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/halves-and-surge.toml");
+    let scenario = Scenario::read(&path).expect("sound");
+    let mut tightest = 0.0f64;
+    for seed in 1..=4 {
+        let report = run(&scenario, seed, &real).expect("it runs");
+        assert!(report.held());
+        let shops = f64::from(scenario.load.shops);
+        let weights: f64 = (1..=scenario.load.shops).map(|k| f64::from(k).powf(-scenario.load.zipf)).sum();
+        let mut rank = 1.0f64;
+        for plan in scenario.plans.iter().rev() {
+            // The busiest shop of a plan, with its clients' retries, half of it at the gatekeepers that are cut off.
+            let first = rank.powf(-scenario.load.zipf) / weights;
+            let tries = 1.0 + f64::from(scenario.load.retries);
+            let offered = scenario.load.rate * 5.0 * first * 1.22 * tries * 0.5;
+            let cut = Cut { set: 4, cut_off: 2, seconds: 30.0, offered, largest: 2.0 };
+            let stated = bound::over(plan.rate, plan.burst, &cut);
+            let sums = report.plans.iter().find(|p| p.name == plan.name).expect("the plan");
+            assert!(sums.worst_over <= stated, "{}: {} over, {stated} stated", plan.name, sums.worst_over);
+            tightest = tightest.max(sums.worst_over / stated);
+            rank += plan.share * shops;
+        }
+    }
+    assert!(tightest > 0.3, "{tightest}: the statement says next to nothing");
+}
