Cover ceilings by the keeper's grant, and leave slices to what is not freshly granted

Change: the keeper, asked for the units anyway, holds 62 to 85% of the ceiling in a store of its own (src/ceiling.rs) and a fresh grant is covered by it; what goes out from stock or past a silent keeper is covered by slices of the rest. Both begin a life empty.

--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
 use crate::api::*;
+use crate::ceiling;
 use crate::hands::{Hands, Waits};
 use crate::lots::Lots;
 use crate::note::{Item, key_of};
@@ -239,17 +240,14 @@
         let keeper = self.keeper(key, &request);
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
+        let notes = self.cfg.notes;
         let (lot, n) = (if check { self.rng.random::<f64>() } else { 1.0 }, f64::from(spread));
         let c = self.customer(key, name);
         let ms = now - c.slice_at;
         c.slice_at = now;
         c.own *= (-ms / DEMAND_MS).exp();
-        c.ceiling = (c.ceiling + plan.ceiling_rate / n * ms / 1000.0)
-            .min((plan.ceiling_burst + plan.ceiling_slack) / n);
+        c.ceiling.fill(ceiling::slice(&plan, n, notes), ms);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
-        if plan.ceiling_rate > 0.0 && c.ceiling < units {
-            return self.refuse(&request, check);
-        }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted) = (c.told.at, c.told.demand, c.told.granted);
         // Checks come to the keeper itself. Unthinned they would take each unit before others' requests can,
@@ -268,7 +266,7 @@
         let chance = if lot * n < 1.0 { 1.0 } else { chance };
         let weight = units / chance;
         c.own += units * 1000.0 / DEMAND_MS;
-        let ample = !limited && c.stock >= units;
+        let ample = !limited && c.stock >= units && c.ceiling.holds(units);
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
         if (keeper != me || check) && !ample && c.credit < 1.0 {
@@ -320,8 +318,8 @@
         (request.first + (which % u64::from(spread)) as u32) % all
     }
 
-    /// Refuses. Where store or ceiling, as far as they are known here, won't hold the units before the
-    /// aim, it says when they will; for less a client's own wait serves better than ours.
+    /// Refuses. Where the store, as far as it is known here, won't hold the units before the aim, it
+    /// says when it will; for less a client's own wait serves better than ours.
     fn refuse(&mut self, request: &Request, check: bool) {
         if check {
             return self.verdict(request, false);
@@ -332,26 +330,25 @@
         self.actions.push(Action::Refuse { id: request.id, pause });
     }
 
-    /// How long until store and ceiling, as far as they are known here, hold a request's units.
+    /// How long until the store, as far as it is known here, holds a request's units.
     fn room_in(&self, c: &Customer, request: &Request) -> f64 {
         let plan = &self.cfg.plans[c.plan as usize];
         let (at, level) = c.known();
         let until = |at: f64, level: f64, rate: f64| {
             if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
         };
-        let ceiling = plan.ceiling_rate / f64::from(request.spread.max(1));
-        until(at, level, plan.rate).max(until(c.slice_at, c.ceiling, ceiling))
+        until(at, level, plan.rate)
     }
 
     // ---- a check: the same store and ceiling, and nothing is sent ----
 
-    /// A check with room in its quota takes its units from the ceiling's slice too.
+    /// A check with room in its quota takes its units from the ceiling too.
     fn decide(&mut self, job: &Job) {
         let units = job.request.units;
-        let held = self.cfg.plans[job.request.plan].ceiling_rate > 0.0;
+        let covered = ceiling::covered(&self.cfg.plans[job.request.plan], job.place.is_some());
         match self.customers.get_mut(&job.key) {
-            Some(c) if !held || c.ceiling >= units => {
-                c.ceiling -= units;
+            Some(c) if covered || c.ceiling.holds(units) => {
+                c.ceiling.take(if covered { 0.0 } else { units });
                 self.verdict(&job.request, true);
             }
             _ => {
@@ -372,12 +369,11 @@
             let (at, level) = c.known();
             let level = (level + plan.rate * (self.now - at) / 1000.0).min(plan.burst);
             let store = if plan.rate > 0.0 { level } else { f64::INFINITY };
-            let ceiling = if plan.ceiling_rate > 0.0 { c.ceiling } else { f64::INFINITY };
             let fill = |units: f64| if plan.rate > 0.0 { 1000.0 * units / plan.rate } else { 0.0 };
             let pause = if granted { fill(plan.burst - level) } else { self.room_in(c, request) };
             // Others ask for what seems to be left: then the time that the units take to fill will do.
             let pause = if granted || pause > 0.0 { pause } else { fill(request.units) };
-            (store.min(ceiling).max(0.0), pause.max(0.0).ceil())
+            (store.max(0.0), pause.max(0.0).ceil())
         });
         self.actions.push(Action::Verdict { id: request.id, granted, remaining, reset });
     }
@@ -391,7 +387,7 @@
         let keeper = self.keeper(key, request);
         if let Some(c) = self.customers.get_mut(&key) {
             let (plan, n) = (&self.cfg.plans[c.plan as usize], f64::from(request.spread.max(1)));
-            c.ceiling = (c.ceiling + request.units).min((plan.ceiling_burst + plan.ceiling_slack) / n);
+            c.ceiling.give(request.units, ceiling::slice(plan, n, self.cfg.notes));
         }
         self.tell(key, keeper, request.plan, -request.units, None);
     }
@@ -413,7 +409,7 @@
             let known = self.customers.contains_key(&l.key);
             let c = self.customer(l.key, l.plan);
             (c.level, c.slice) = (c.level.min(l.store), c.slice.min(l.store));
-            c.ceiling = if known { c.ceiling } else { l.ceiling };
+            c.ceiling = if known { c.ceiling } else { ceiling::Store::new(l.ceiling) };
         }
     }
 
@@ -426,7 +422,7 @@
             let (p, parts) = (&self.cfg.plans[plan], f64::from(self.keepers(plan)));
             let filled = c.level + p.rate / parts * (self.now - c.at) / 1000.0;
             let store = filled.min(p.burst / parts);
-            Level { key, plan, store, ceiling: c.ceiling, seen: c.seen }
+            Level { key, plan, store, ceiling: c.ceiling.level(), seen: c.seen }
         };
         let all = (part..part + most).map_while(|k| self.customers.part(k)).flatten().map(level).collect();
         (all, self.customers.part(part + most).map(|_| part + most))
@@ -508,8 +504,8 @@
         }
         let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
         // Asked again here: others of its customer may have been sent on while it waited.
-        let ceiling = self.cfg.plans[plan].ceiling_rate;
-        let above = ceiling > 0.0 && self.customers.get(&job.key).is_none_or(|c| c.ceiling < units);
+        let covered = ceiling::covered(&self.cfg.plans[plan], job.place.is_some());
+        let above = !covered && self.customers.get(&job.key).is_none_or(|c| !c.ceiling.holds(units));
         let most = self.room * self.cfg.classes[job.request.class].aim;
         let passes = !above && !self.throttled(job.tier);
         let chosen = if passes { self.choose(job.request.class, most, None, None) } else { None };
@@ -524,7 +520,7 @@
             return self.refuse(&job.request, false);
         };
         if let Some(c) = self.customers.get_mut(&job.key) {
-            c.ceiling -= units;
+            c.ceiling.take(if covered { 0.0 } else { units });
             c.open += 1;
         }
         let held = Held { job, attempts: 0, ended: false, sent_at: self.now, load: 0.0, may_run: None };
@@ -549,6 +545,7 @@
         let ms = self.now - c.at;
         c.at = self.now;
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
+        c.kept.fill(ceiling::kept(plan, parts, self.cfg.gateways == 1), ms);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
         let (now, lease) = (self.now, LEASE * (self.fleet.took + 20.0));
@@ -592,7 +589,7 @@
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
         let plan = &self.cfg.plans[c.plan as usize];
         c.demand += weight * 1000.0 / DEMAND_MS;
-        let inside = plan.rate <= 0.0 || c.level >= ask.units;
+        let inside = (plan.rate <= 0.0 || c.level >= ask.units) && c.kept.holds(ask.units);
         let (out, queued) = c.places.as_ref().map_or((0, 0), |p| (p.out.len(), p.queue.len()));
         let free = !ask.shared || (out < plan.open as usize && queued == 0);
         if inside && free {
@@ -600,6 +597,8 @@
             let units = ask.units + ask.extra.min((c.level - ask.units) / 2.0).max(0.0);
             c.level -= units;
             c.granted += units * 1000.0 / DEMAND_MS;
+            // Extra units are sent on later, and then covered by their sender's slice.
+            c.kept.take(ask.units);
             if ask.shared {
                 c.places.get_or_insert_default().out.push_back(((ask.from, ask.number), now));
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 struct Readme;
 
 mod api;
+mod ceiling;
 mod conf;
 mod control;
 mod hands;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway keeps: plain data, nothing decided here.
 
 use crate::api::*;
+use crate::ceiling::Store;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Demand is remembered for about this long: to count slow customers and to follow those that move.
@@ -30,8 +31,10 @@
     /// What this gateway has out, and the most where each has places of its own.
     pub open: u32,
     pub slots: u32,
+    /// At its keeper: the keeper's part of the ceiling, as of `at`.
+    pub kept: Store,
     /// This gateway's slices of the ceiling and of the quota, as of `slice_at`; its own demand is too.
-    pub ceiling: f64,
+    pub ceiling: Store,
     pub slice: f64,
     pub slice_at: f64,
 }
