Tell all gatekeepers of failing servers, and prefer connections at rest

From logs of the throttle: tiers with 19 requests and no accept at single gatekeepers long after the trouble, as a window of ten slots with four requests each lasts half a minute there. A gatekeeper whose first answer was slow (324 ms) refused all after it. Ruled out: discovery's lag, connection caps.

Change: src/rumors.rs, notes to all (peers_all) that name servers whose attempts fail or hang, at 100 ms by lot, no more than a quarter of the intake over all, one voice a gatekeeper, fading in 3 s, held against the average; a new action TellAll. Many gatekeepers prefer servers they have a connection at rest with, the throttle forgets within 5 s and takes two accepts for granted, and no verdict on pace is made before ten answers. With 16 gatekeepers or fewer all is as before, lots included.

--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -401,6 +401,11 @@
                 }
             }
             Action::Tell { to, text } => self.note(k, to, &text),
+            Action::TellAll { text } => {
+                for to in (0..self.scenario.gatekeepers.count).filter(|to| *to != k) {
+                    self.note(k, to, &text);
+                }
+            }
             Action::SetTimer { token, after } => {
                 let life = self.gatekeepers[k as usize].life;
                 self.queue.put(self.now + after, Ev::Timer { gatekeeper: k, life, token });
--- a/src/api.rs
+++ b/src/api.rs
@@ -378,6 +378,11 @@
         /// At most 256 bytes.
         text: String,
     },
+    /// Sends a note to every other gateway.
+    TellAll {
+        /// At most 256 bytes.
+        text: String,
+    },
     /// Asks for a timer event.
     SetTimer {
         /// Comes back with the event.
--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -23,6 +23,8 @@
     #[serde(default)]
     peers: Vec<String>,
     #[serde(default)]
+    peers_all: String,
+    #[serde(default)]
     known: serde_json::Value,
     settings: Conf,
 }
@@ -51,6 +53,8 @@
     /// Where notes arrive, if notes are allowed.
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
+    /// Reaches every gatekeeper of the tier at once, where there is such an address.
+    pub peers_all: Option<SocketAddr>,
     /// The list of workers as it was last had.
     pub known: Option<Listed>,
     pub conf: Conf,
@@ -108,6 +112,9 @@
             memory: file.limits.memory_mb.clamp(32, 1 << 20) << 20,
             peer_listen,
             peers,
+            peers_all: (!file.peers_all.is_empty())
+                .then(|| address("peers_all", &file.peers_all))
+                .transpose()?,
             known: listing::listed(&file.known),
             conf: file.settings,
             settings,
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -583,6 +583,11 @@
                     peers.tell(to, &text);
                 }
             }
+            Action::TellAll { text } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell_all(&text);
+                }
+            }
             Action::SetTimer { token, after } => self.at(now + after, Due::Timer(token)),
             Action::Log { text } => tracing::info!("{text}"),
             // Workers are not probed.
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -94,7 +94,7 @@
     let listen = listener.local_addr().unwrap_or(listen);
     let peers = match config.peer_listen {
         Some(at) => {
-            let peers = Peers::bind(at, std::mem::take(&mut config.peers)).await;
+            let peers = Peers::bind(at, std::mem::take(&mut config.peers), config.peers_all).await;
             Some(peers.map_err(|e| format!("cannot take notes at {at}: {e}"))?)
         }
         None => None,
--- a/src/bin/frostvale/peers.rs
+++ b/src/bin/frostvale/peers.rs
@@ -12,11 +12,17 @@
 pub struct Peers {
     socket: Rc<UdpSocket>,
     addresses: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
 }
 
 impl Peers {
-    pub async fn bind(listen: SocketAddr, addresses: Vec<SocketAddr>) -> std::io::Result<Peers> {
-        Ok(Peers { socket: Rc::new(UdpSocket::bind(listen).await?), addresses })
+    /// `all` is an address that reaches every one of them, if there is one.
+    pub async fn bind(
+        listen: SocketAddr,
+        addresses: Vec<SocketAddr>,
+        all: Option<SocketAddr>,
+    ) -> std::io::Result<Peers> {
+        Ok(Peers { socket: Rc::new(UdpSocket::bind(listen).await?), addresses, all })
     }
 
     /// Sends a note if the socket takes it now. Notes may be lost, so nothing waits for one.
@@ -28,6 +34,21 @@
         }
     }
 
+    /// Sends a note to all of them. One that comes back to its sender is passed over there.
+    pub fn tell_all(&self, text: &str) {
+        if text.len() > NOTE_MOST {
+            return;
+        }
+        match &self.all {
+            Some(all) => {
+                let _ = self.socket.try_send_to(text.as_bytes(), *all);
+            }
+            None => self.addresses.iter().for_each(|address| {
+                let _ = self.socket.try_send_to(text.as_bytes(), *address);
+            }),
+        }
+    }
+
     /// The task that takes notes in.
     pub async fn listen(self, me: u32, heard: impl Fn(u32, &str)) {
         let mut bytes = [0u8; NOTE_MOST + 1];
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,6 +12,7 @@
 use crate::note::{Item, key_of};
 use crate::post::Post;
 use crate::roster::Roster;
+use crate::rumors::{MARK, Rumors};
 use crate::state::*;
 use crate::swept::Swept;
 use rand::{Rng, SeedableRng};
@@ -26,6 +27,9 @@
 const SLOT: f64 = 300.0;
 const SLOT_LEAST: u32 = 4;
 const SLOT_LONGEST: f64 = 3000.0;
+/// The same for one of many gateways, and the accepts that each of its tiers is taken to have had beside.
+const SLOT_MANY: f64 = 500.0;
+const TAKEN_AS_WELL: f64 = 2.0;
 /// A tier passes this many a second for each server, from all gateways together, whatever the
 /// chance, so that recovery is seen: a minimum for each gateway would add up to an overload.
 const MIN_RATE: f64 = 0.15;
@@ -92,6 +96,11 @@
 const COLD_PART: f64 = 0.9;
 /// All gateways together send it at most so many times what it is thought to bear.
 const COLD_TIMES: f64 = 1.5;
+/// After so many answers one of many gateways goes by how long they took.
+const LEARNED: f64 = 10.0;
+/// One of many gateways passes over most servers to which it has no connection at rest; these last about so long.
+const NEW_PART: f64 = 0.1;
+const RESTS_MS: f64 = 10_000.0;
 /// With many gateways, cold servers need no gap while the fleet's mean warmth is above this.
 const BEARS: f64 = 0.4;
 /// How long a server without room rests, for each gateway, before one request looks again.
@@ -106,6 +115,7 @@
     customers: Swept<Customer>,
     post: Post,
     servers: Roster,
+    rumors: Rumors,
     held: Hands,
     waits: Waits,
     asks: u64,
@@ -168,6 +178,13 @@
             now: 0.0,
             customers: Swept::default(),
             servers: Roster::default(),
+            rumors: Rumors::new(
+                cfg.me,
+                cfg.gateways,
+                FEW,
+                if cfg.notes { cfg.note_intake } else { 0.0 },
+                seed,
+            ),
             held: Hands::default(),
             waits: Waits::default(),
             asks: 0,
@@ -214,6 +231,7 @@
             for (number, s) in self.servers.all_mut().filter(|(_, s)| !named.contains(&s.name)) {
                 s.health = Health::Gone;
                 gone.push(number);
+                self.rumors.listed(&s.name, false, false);
             }
             gone.into_iter().for_each(|number| self.servers.down(number));
         }
@@ -225,13 +243,16 @@
                 name: line.name.clone(),
                 since: line.since,
                 sent_at: now,
+                rested_at: f64::NEG_INFINITY,
                 phase,
                 kind: line.kind,
                 ..Live::default()
             });
+            self.rumors.listed(&line.name, line.health == Health::Up, line.since > s.since);
             if line.since > s.since {
                 // A new life: what was learned of the former one no longer holds.
                 (s.pace, s.usual, s.reported, s.fail, s.phase) = (None, 0.0, None, 0.0, phase);
+                s.rested_at = f64::NEG_INFINITY;
             }
             (s.zone, s.cell, s.health, s.since) = (line.zone, line.cell, line.health, line.since);
             match line.health {
@@ -700,9 +721,11 @@
 
     fn current(&mut self) -> &mut Vec<(f64, f64)> {
         let mut past = self.now - self.slot_at;
-        while past >= SLOT_LONGEST || (past >= SLOT && self.slot_count >= SLOT_LEAST) {
-            past = if self.slot_count >= SLOT_LEAST { 0.0 } else { past - SLOT_LONGEST };
-            past = past.min(SLOT_LONGEST * SLOTS as f64);
+        // Of many gateways each sees few, and with as many for a slot as else would remember a bad moment for half a minute.
+        let longest = if self.cfg.gateways > FEW { SLOT_MANY } else { SLOT_LONGEST };
+        while past >= longest || (past >= SLOT && self.slot_count >= SLOT_LEAST) {
+            past = if self.slot_count >= SLOT_LEAST { 0.0 } else { past - longest };
+            past = past.min(longest * SLOTS as f64);
             self.slot = (self.slot + 1) % SLOTS;
             self.slot_count = 0;
             self.counts[self.slot].fill((0.0, 0.0));
@@ -724,6 +747,8 @@
         let sum = |t: usize| self.counts.iter().fold((0.0, 0.0), |a, s| (a.0 + s[t].0, a.1 + s[t].1));
         let failures: f64 = (0..tier).map(sum).map(|(requests, accepts)| requests - accepts).sum();
         let (own, accepts) = sum(tier);
+        // A handful of failures is noise where a gateway sees little.
+        let accepts = accepts + if self.cfg.gateways > FEW { TAKEN_AS_WELL } else { 0.0 };
         ((own + failures - K * accepts) / (own + failures + 1.0)).max(0.0)
     }
 
@@ -800,6 +825,21 @@
         most: f64,
         group: Option<(Group, u32, u32)>,
         avoid: Option<&Name>,
+    ) -> Option<Name> {
+        // Each of many meets a server seldom, and a new connection each time would cost it more than the choice gains.
+        let kept = self.cfg.gateways > FEW && group.is_none();
+        let at_rest = kept.then(|| self.best_of(class, most, group, avoid, NEW_PART)).flatten();
+        at_rest.or_else(|| self.best_of(class, most, group, avoid, 1.0))
+    }
+
+    /// The same of those with a connection at rest, and of a part of the others.
+    fn best_of(
+        &mut self,
+        class: usize,
+        most: f64,
+        group: Option<(Group, u32, u32)>,
+        avoid: Option<&Name>,
+        others: f64,
     ) -> Option<Name> {
         let drawn = self.servers.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
@@ -825,6 +865,14 @@
             if warmth < 1.0 && self.rng.random::<f64>() >= part {
                 continue;
             }
+            let rests = s.out.is_empty() && s.rested_at > self.now - RESTS_MS;
+            if others < 1.0 && !rests && self.rng.random::<f64>() >= others {
+                continue;
+            }
+            let ill = self.rumors.of(self.now, &s.name);
+            if ill > 0.0 && self.rng.random::<f64>() * (1.0 + ill * ill) >= 1.0 {
+                continue;
+            }
             // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
             let gap = self.pace(s) * f64::from(self.cfg.gateways) / (COLD_TIMES * SIDE_BY_SIDE);
             if warmth < 1.0 && !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
@@ -835,7 +883,9 @@
             // Where nothing of ours is out or has lately gone there is room for one: else nothing more
             // would be learned. All gateways do so, hence the gap grows with their number.
             let quiet = s.out.is_empty() && self.now - s.sent_at > PEEK_MS * f64::from(self.cfg.gateways);
-            if time > most && !(quiet && avoid.is_none()) {
+            // What the first answers took says little, and where nothing is sent for it nothing more is learned.
+            let learning = many && self.fleet.answers < LEARNED;
+            if time > most && !((quiet || learning) && avoid.is_none()) {
                 continue;
             }
             let fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp();
@@ -862,7 +912,10 @@
 
     fn send(&mut self, id: u64, server: Name) {
         let Some(s) = self.servers.get(&server) else { return };
-        let load = self.load(s, self.means());
+        let means = self.means();
+        let load = self.load(s, means);
+        let class = self.held.get(id).map_or(0, |h| h.job.request.class);
+        let expected = self.foreseen(s, class, means);
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
         self.fleet.in_flight += 1;
         let (Some(s), Some(h)) = (self.servers.get_mut(&server), self.held.get_mut(id)) else { return };
@@ -872,6 +925,7 @@
         h.attempts += 1;
         h.sent_at = self.now;
         h.load = load;
+        self.rumors.sent(self.now, id, &server, expected);
         let class = &self.cfg.classes[h.job.request.class];
         // An answer past its aim earns nothing: it is not waited for, and silence is not taken for load.
         let end = if class.late_worth > 0.0 { f64::INFINITY } else { h.job.arrived + class.aim };
@@ -897,6 +951,12 @@
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
         let (plan, units) = (h.job.request.plan, h.job.request.units);
         let many = self.cfg.gateways > FEW;
+        let well = match o.ending {
+            Ending::Ok => Some(true),
+            Ending::Cancelled | Ending::Moot => None,
+            _ => Some(false),
+        };
+        self.rumors.ended(self.now, o.id, &o.server, well);
         let ran = !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::Moot);
         if let Some(s) = self.servers.get_mut(&o.server)
             && s.out.contains_key(&o.id)
@@ -919,6 +979,9 @@
             s.fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp() * (1.0 - LEARN) + LEARN * 2.0 * fail;
             s.fail_at = self.now;
             self.fleet.fail += LEARN_ALL * (fail - self.fleet.fail);
+            if o.ending == Ending::Ok {
+                s.rested_at = self.now;
+            }
             if matches!(o.ending, Ending::Ok | Ending::Timeout) {
                 let pace = o.latency.max(0.1) / slowdown(load);
                 self.fleet.took += LEARN * (o.latency - self.fleet.took);
@@ -1022,6 +1085,9 @@
 
     /// Sends what is due, as far as the peers can take it in; the rest follows in fuller notes.
     fn flush(&mut self) {
+        if let Some(text) = self.rumors.due(self.now) {
+            self.actions.push(Action::TellAll { text });
+        }
         let rate = INTAKE_PART * self.cfg.note_intake.max(1.0);
         while let Some((to, text)) = self.post.next(self.now, rate) {
             self.actions.push(Action::Tell { to, text });
@@ -1039,6 +1105,9 @@
 
     fn on_note(&mut self, from: u32, text: &str) {
         let now = self.now;
+        if text.starts_with(MARK) {
+            return self.rumors.hear(now, from, text);
+        }
         for (key, item) in text.split(';').filter_map(|t| Item::read(t, from, now)) {
             match item {
                 Item::Ask { plan, ask, weight } if plan < self.cfg.plans.len() => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 mod note;
 mod post;
 mod roster;
+mod rumors;
 mod state;
 mod swept;
 
--- /dev/null
+++ b/src/rumors.rs
@@ -0,0 +1,393 @@
+//! What many gateways tell each other of servers that fail, so that not each of them must find out by itself.
+//!
+//! A hundred gateways that see five requests a second each meet a given server of sixty once in ten seconds. One that has
+//! died, crawls or fails in no time then takes its full share of requests until every gateway has lost some to it. So
+//! whoever sees an attempt fail says so to all at once, unless enough others have just said it: a moment drawn by lot lets
+//! a few speak for all. What was said fades in seconds, one gateway counts once, and a server that all speak ill of is
+//! still tried now and then, so a rumour that is wrong or old rights itself. Where all servers are ill spoken of alike the
+//! choice is as if none were.
+//!
+//! Nothing here knows what the choice makes of it, does I/O or reads a clock.
+
+use crate::api::Name;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A rumour fades over this time.
+const FADE_MS: f64 = 3000.0;
+/// So many gateways are remembered of those that speak ill of a server, the latest of each.
+const VOICES: usize = 4;
+/// With so much heard from others there is no news in saying it too.
+const ENOUGH: f64 = 1.5;
+/// News waits for up to so long, by lot.
+const LOT_MS: f64 = 100.0;
+/// The part of the gateways' intake of notes that rumours may fill, all together.
+const INTAKE_PART: f64 = 0.25;
+/// An attempt that takes so many times what was expected is spoken of before it ends.
+const OVERDUE: f64 = 5.0;
+/// How often the average is taken, and of how many servers.
+const USUAL_MS: f64 = 200.0;
+const USUAL_OF: usize = 64;
+/// Notes that may go at one stroke.
+const BURST: f64 = 2.0;
+/// The most servers that one note names.
+const NAMED: usize = 16;
+
+/// A note of rumours begins with this; no other does.
+pub(crate) const MARK: char = '!';
+
+/// What is said of one server: who spoke ill of it, and when.
+#[derive(Clone, Default)]
+struct Talk {
+    voices: [Option<(u32, f64)>; VOICES],
+}
+
+impl Talk {
+    fn put(&mut self, who: u32, now: f64) {
+        let at = |voice: &Option<(u32, f64)>| voice.map_or(f64::NEG_INFINITY, |(_, at)| at);
+        let same = self.voices.iter().position(|v| v.is_some_and(|(by, _)| by == who));
+        let oldest = (0..VOICES).min_by(|a, b| at(&self.voices[*a]).total_cmp(&at(&self.voices[*b])));
+        if let Some(k) = same.or(oldest) {
+            self.voices[k] = Some((who, now));
+        }
+    }
+
+    fn sum(&self, now: f64, but: Option<u32>) -> f64 {
+        let voices = self.voices.iter().flatten().filter(|(who, _)| Some(*who) != but);
+        voices.map(|(_, at)| (-(now - at).max(0.0) / FADE_MS).exp()).sum()
+    }
+}
+
+/// What one gateway has heard and seen.
+pub(crate) struct Rumors {
+    me: u32,
+    /// Notes a second that this gateway may send to all; nothing is sent or heard where it is 0.
+    rate: f64,
+    left: f64,
+    left_at: f64,
+    /// The servers that the list has named, by the short form of their names.
+    known: BTreeMap<u32, Talk>,
+    news: BTreeSet<u32>,
+    due: f64,
+    /// Attempts that are out: until when each may be, and its server.
+    out: BTreeMap<u64, (f64, Name)>,
+    /// What is said of a server on average, as of when, and the server to go on from for the next.
+    usual: f64,
+    usual_at: f64,
+    usual_from: u32,
+    /// Lots of its own, so that those of the decisions stay what they were.
+    rng: Pcg64Mcg,
+    /// Words that could not be read, or were of nobody we know.
+    pub dropped: u64,
+}
+
+/// A server's name in rumours.
+fn short(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+impl Rumors {
+    /// For one of so many gateways, each of which takes in `intake` notes a second. `few` of them need no rumours: each
+    /// sees enough itself.
+    pub fn new(me: u32, gateways: u32, few: u32, intake: f64, seed: u64) -> Rumors {
+        let rate = if gateways > few { INTAKE_PART * intake / f64::from(gateways) } else { 0.0 };
+        Rumors {
+            me,
+            rate,
+            left: BURST,
+            left_at: 0.0,
+            known: BTreeMap::new(),
+            news: BTreeSet::new(),
+            due: f64::INFINITY,
+            out: BTreeMap::new(),
+            usual: 0.0,
+            usual_at: f64::NEG_INFINITY,
+            usual_from: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            dropped: 0,
+        }
+    }
+
+    /// The list names a server, or takes it away. One that has started anew is spoken of anew.
+    pub fn listed(&mut self, name: &str, up: bool, anew: bool) {
+        if self.rate <= 0.0 {
+            return;
+        }
+        let id = short(name);
+        if !up || anew {
+            self.known.remove(&id);
+            self.news.remove(&id);
+        }
+        if up {
+            self.known.entry(id).or_default();
+        }
+    }
+
+    /// An attempt of ours has begun that should take so long. Waiting for its end would tell of a server that hangs
+    /// only when the client has nothing more of it.
+    pub fn sent(&mut self, now: f64, attempt: u64, name: &Name, expected: f64) {
+        // Before any answer nothing is known of what to expect.
+        if self.rate > 0.0 && expected > 0.0 {
+            self.out.insert(attempt, (now + OVERDUE * expected, name.clone()));
+        }
+    }
+
+    /// It has ended: well, badly, or in a way that says nothing. One that was overdue has been spoken of.
+    pub fn ended(&mut self, now: f64, attempt: u64, name: &str, well: Option<bool>) {
+        let watched = self.out.remove(&attempt);
+        match well {
+            Some(true) if watched.is_some_and(|(until, ..)| now < until) => self.good(now, name),
+            Some(false) => self.bad(now, name),
+            _ => {}
+        }
+    }
+
+    /// Speaks of attempts that have been out for too long by now.
+    fn watch(&mut self, now: f64) {
+        let late: Vec<u64> =
+            self.out.iter().filter(|(_, (until, ..))| now >= *until).map(|(id, _)| *id).collect();
+        for id in late {
+            if let Some((_, name)) = self.out.remove(&id) {
+                self.bad(now, &name);
+            }
+        }
+    }
+
+    /// An attempt of ours failed, or takes far too long.
+    fn bad(&mut self, now: f64, name: &str) {
+        let (id, me) = (short(name), self.me);
+        let Some(talk) = self.known.get_mut(&id) else { return };
+        talk.put(me, now);
+        if talk.sum(now, Some(me)) < ENOUGH && self.news.len() < NAMED {
+            self.news.insert(id);
+            self.due = self.due.min(now + self.rng.random::<f64>() * LOT_MS);
+        }
+    }
+
+    /// An attempt of ours was answered well and in time: what we and others said before counts half.
+    fn good(&mut self, now: f64, name: &str) {
+        let id = short(name);
+        let Some(talk) = self.known.get_mut(&id) else { return };
+        for voice in &mut talk.voices {
+            *voice = voice
+                .map(|(who, at)| (who, at - FADE_MS * std::f64::consts::LN_2))
+                .filter(|(_, at)| now - at < 4.0 * FADE_MS);
+        }
+        self.news.remove(&id);
+    }
+
+    /// Another gateway's words. What can't be read, names too many or nobody we know changes nothing.
+    pub fn hear(&mut self, now: f64, from: u32, text: &str) {
+        let text = text.strip_prefix(MARK).unwrap_or_default();
+        if self.rate <= 0.0 || from == self.me {
+            return;
+        }
+        for word in text.split(',').take(NAMED) {
+            let id = u32::from_str_radix(word, 16).ok().filter(|_| word.len() <= 8);
+            let Some((id, talk)) = id.and_then(|id| Some((id, self.known.get_mut(&id)?))) else {
+                self.dropped += 1;
+                continue;
+            };
+            talk.put(from, now);
+            if talk.sum(now, Some(self.me)) >= ENOUGH {
+                self.news.remove(&id);
+            }
+        }
+    }
+
+    /// The note to all that is due, if one is.
+    pub fn due(&mut self, now: f64) -> Option<String> {
+        if self.rate <= 0.0 {
+            return None;
+        }
+        self.watch(now);
+        self.average(now);
+        if now < self.due {
+            return None;
+        }
+        self.left = (self.left + self.rate * (now - self.left_at).max(0.0) / 1000.0).min(BURST);
+        self.left_at = now;
+        if self.news.is_empty() {
+            self.due = f64::INFINITY;
+            return None;
+        }
+        if self.left < 1.0 {
+            self.due = now + 1000.0 * (1.0 - self.left) / self.rate;
+            return None;
+        }
+        self.left -= 1.0;
+        self.due = f64::INFINITY;
+        let ids = std::mem::take(&mut self.news);
+        let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
+        Some(format!("{MARK}{}", ids.join(",")))
+    }
+
+    /// How ill a server is spoken of: 0 not at all, 1 for each fresh voice.
+    pub fn of(&self, now: f64, name: &str) -> f64 {
+        if self.rate <= 0.0 {
+            return 0.0;
+        }
+        let said = self.known.get(&short(name)).map_or(0.0, |talk| talk.sum(now, None));
+        (said - self.usual).max(0.0)
+    }
+
+    /// What is said of a server on average, taken of some: in a bad hour all are ill spoken of, and none is to be left for it.
+    fn average(&mut self, now: f64) {
+        if now - self.usual_at < USUAL_MS {
+            return;
+        }
+        self.usual_at = now;
+        // Not always the same ones of a large fleet.
+        let from = self.known.range(self.usual_from..).chain(self.known.range(..self.usual_from));
+        let (mut sum, mut count) = (0.0, 0.0);
+        let mut last = 0;
+        for (id, talk) in from.take(USUAL_OF) {
+            (sum, count, last) = (sum + talk.sum(now, None), count + 1.0, *id);
+        }
+        self.usual = if count > 0.0 { sum / count } else { 0.0 };
+        self.usual_from = last;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const FEW: u32 = 16;
+
+    /// Gateways that all know the same servers, `s0` and on.
+    fn tier(gateways: u32, servers: u32) -> Vec<Rumors> {
+        let one = |me| {
+            let mut r = Rumors::new(me, gateways, FEW, 60.0, u64::from(me));
+            (0..servers).for_each(|k| r.listed(&format!("s{k}"), true, false));
+            r
+        };
+        (0..gateways).map(one).collect()
+    }
+
+    /// Lets all that is due go, and all but one in so many be heard; gives the number of notes.
+    fn pass(tier: &mut [Rumors], now: f64, lost: usize) -> usize {
+        let said: Vec<(u32, String)> =
+            (0..tier.len()).filter_map(|k| Some((k as u32, tier[k].due(now)?))).collect();
+        for (n, (from, text)) in said.iter().enumerate() {
+            assert!(text.len() <= 256, "{text}");
+            for (_, r) in tier.iter_mut().enumerate().filter(|(k, _)| (k + n) % lost != 0) {
+                // A note to all may come back to its sender.
+                r.hear(now, *from, text);
+            }
+        }
+        said.len()
+    }
+
+    #[test]
+    fn what_one_sees_fail_all_know_and_few_say_it() {
+        let mut all = tier(100, 60);
+        // Every gateway loses an attempt at the same server within the same 100 ms.
+        for (k, r) in all.iter_mut().enumerate() {
+            r.ended(k as f64, k as u64, "s7", Some(false));
+        }
+        let notes: usize = (0..300).map(|ms| pass(&mut all, f64::from(ms), 20)).sum();
+        assert!((2..=12).contains(&notes), "{notes} of 100 spoke");
+        assert!(all.iter().all(|r| r.of(300.0, "s7") > 0.8 && r.of(300.0, "s8") <= 0.0));
+    }
+
+    #[test]
+    fn a_rumour_fades_and_an_answer_halves_it() {
+        let mut r = tier(100, 60).remove(0);
+        r.hear(0.0, 1, &format!("{MARK}{:x}", short("s1")));
+        r.hear(0.0, 2, &format!("{MARK}{:x}", short("s1")));
+        assert!((r.of(0.0, "s1") - 2.0).abs() < 1e-9);
+        r.sent(0.0, 9, &"s1".into(), 50.0);
+        r.ended(40.0, 9, "s1", Some(true));
+        assert!((0.9..1.0).contains(&r.of(40.0, "s1")), "{}", r.of(40.0, "s1"));
+        assert!(r.of(10_000.0, "s1") < 0.05);
+    }
+
+    #[test]
+    fn one_liar_is_one_voice_however_often_it_speaks() {
+        let mut r = tier(100, 60).remove(0);
+        let ids: Vec<String> = (0..16).map(|k| format!("{:x}", short(&format!("s{k}")))).collect();
+        for ms in 0..1000 {
+            r.hear(f64::from(ms), 66, &format!("{MARK}{}", ids.join(",")));
+        }
+        assert!((0..16).all(|k| r.of(1000.0, &format!("s{k}")) <= 1.0));
+    }
+
+    #[test]
+    fn words_that_mean_nothing_are_dropped_and_counted() {
+        let mut r = tier(100, 2).remove(0);
+        let long = "f".repeat(5000);
+        for text in
+            ["!", "!zz", "!deadbeef", "!-1", "!123456789", "!\u{1F600}", "nothing", "", &format!("!{long}")]
+        {
+            r.hear(0.0, 1, text);
+        }
+        assert_eq!(r.dropped, 9);
+        assert!(r.of(0.0, "s0") <= 0.0 && r.of(0.0, "s1") <= 0.0);
+        r.hear(0.0, 0, &format!("{MARK}{:x}", short("s0")));
+        assert!(r.of(0.0, "s0") <= 0.0, "one's own words that come back are not another voice");
+    }
+
+    #[test]
+    fn an_attempt_that_hangs_is_spoken_of_before_it_ends() {
+        let mut r = tier(100, 60).remove(0);
+        r.sent(0.0, 1, &"s3".into(), 100.0);
+        assert_eq!(
+            (r.due(499.0), r.due(500.0)),
+            (None, None),
+            "a moment drawn by lot lets others speak first"
+        );
+        assert_eq!(r.due(600.0), Some(format!("{MARK}{:x}", short("s3"))));
+        // Its end says nothing new, unless it fails.
+        r.ended(900.0, 1, "s3", Some(true));
+        assert!(r.of(900.0, "s3") > 0.5);
+    }
+
+    #[test]
+    fn where_all_are_ill_spoken_of_none_is_left_for_it() {
+        let mut r = tier(100, 10).remove(0);
+        for k in 0..10 {
+            for who in 1..4 {
+                r.hear(0.0, who, &format!("{MARK}{:x}", short(&format!("s{k}"))));
+            }
+        }
+        r.due(300.0);
+        assert!((0..10).all(|k| r.of(300.0, &format!("s{k}")) < 0.01));
+    }
+
+    #[test]
+    fn a_few_gateways_neither_speak_nor_listen() {
+        let mut r = tier(3, 10).remove(0);
+        r.ended(0.0, 1, "s1", Some(false));
+        r.hear(0.0, 1, &format!("{MARK}{:x}", short("s1")));
+        assert_eq!(r.due(1000.0), None);
+        assert!(r.of(0.0, "s1") <= 0.0);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(16))]
+
+        /// Whatever fails wherever, notes to all stay within their part of the intake and a burst for each.
+        #[test]
+        fn notes_stay_within_their_part(
+            gateways in 17u32..60, servers in 1u32..30, seed in 0u64..1000, lost in 2usize..30,
+        ) {
+            let mut all = tier(gateways, servers);
+            let mut notes = 0;
+            let mut x = seed;
+            for step in 0..400u32 {
+                let now = f64::from(step) * 25.0;
+                for r in &mut all {
+                    x = x.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+                    let server = format!("s{}", (x >> 33) % u64::from(servers));
+                    r.ended(now, 0, &server, Some(false));
+                }
+                notes += pass(&mut all, now, lost);
+            }
+            let most = f64::from(gateways) * BURST + INTAKE_PART * 60.0 * 10.0 + f64::from(gateways);
+            prop_assert!(notes as f64 <= most, "{notes} notes of {most}");
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,6 +118,8 @@
     pub usual: f64,
     pub usual_at: f64,
     pub sent_at: f64,
+    /// When an answer last left a connection to it at rest.
+    pub rested_at: f64,
     /// Before anything went there: the part of the gap to this gateway's turn that is taken for past.
     pub phase: f64,
     /// When the last report came, and what it said others have in flight.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -838,3 +838,40 @@
         }
     }
 }
+
+/// Sixty gateways of five requests a second before twelve servers, one of which refuses connections. Each for itself
+/// would lose several attempts to it before it knew.
+#[test]
+fn a_dead_server_is_known_to_all_after_a_few_attempts() {
+    let cfg = Settings { gateways: 60, ..settings() };
+    let mut tier: Vec<Control> = (0..60u32)
+        .map(|me| {
+            let mut g = Control::new(Settings { me, ..cfg.clone() }, u64::from(me) + 1).expect("sound");
+            let servers = (0..12).map(|k| line(&format!("s{k}"), 0)).collect();
+            g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+            g
+        })
+        .collect();
+    let (mut dead, mut all) = (0, 0);
+    for step in 0..1500u64 {
+        let (me, now) = ((step * 7 % 60) as usize, 1000.0 + step as f64 * 200.0 / 60.0);
+        let Event::Request(r) = ask(step, 0, 0, now) else { unreachable!("a request") };
+        let mut actions = tier[me].handle(now, Event::Request(Request { first: me as u32, spread: 1, ..r }));
+        while let Some(server) = sent(&actions) {
+            all += 1;
+            let ending = if server == "s5" { Ending::Unreachable } else { Ending::Ok };
+            dead += u32::from(server == "s5");
+            let said: Vec<Action> = std::mem::take(&mut actions);
+            for action in said {
+                if let Action::TellAll { text } = action {
+                    for (_, g) in tier.iter_mut().enumerate().filter(|(k, _)| *k != me) {
+                        g.handle(now, Event::Note { from: me as u32, text: text.clone() });
+                    }
+                }
+            }
+            actions = tier[me].handle(now + 2.0, end(step, &server, ending, 2.0));
+        }
+    }
+    // A twelfth of them would be 125; without a word between gateways it is 26.
+    assert!(dead <= 20, "{dead} of {all} attempts went to it");
+}
