Send nothing on past a silent keeper for shops that one of many never heard of

Change: among many gatekeepers what a keeper said of a shop holds for 30 s, and for a shop not heard of nothing goes on past the keeper's silence; it is refused at once and may come again.

The module's test counts 79 units of a store of 4 without the mend.

--- a/src/control.rs
+++ b/src/control.rs
@@ -37,6 +37,9 @@
 const FADE_MS: f64 = 2000.0;
 /// A keeper's silence past this part of the request's aim means that it is stalled or gone.
 const ASK_PART: f64 = 0.3;
+/// What a keeper said holds for so long at one of many gateways, which hears of a customer seldom. Of one not heard of it
+/// sends nothing on past a silent keeper: each slice of a large set is too small for one request, and all add up.
+const BLIND_MS: f64 = 30_000.0;
 /// So many times what the keeper granted, or can grant, is asked for; the rest is refused at once.
 const ASK_MORE: f64 = 1.5;
 /// Up to so many gateways fill their notes with many items, and one keeper can take them in.
@@ -489,12 +492,13 @@
         let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
         let open = if w.check { 0.0 } else { open };
         let lot = self.rng.random::<f64>();
+        let many = self.cfg.gateways > FEW;
         let (now, units) = (self.now, w.request.units);
         let passes = !w.queued
             && self.customers.get_mut(&w.key).is_some_and(|c| {
                 // Its word grows stale while demand changes: then this gateway's slice of the quota holds.
-                let heard = now - c.told.at <= FADE_MS;
-                let fits = if heard { lot * c.told.demand <= c.told.granted } else { c.slice > 0.0 };
+                let heard = now - c.told.at <= if many { BLIND_MS } else { FADE_MS };
+                let fits = if heard { lot * c.told.demand <= c.told.granted } else { !many && c.slice > 0.0 };
                 let passes = fits && (open <= 0.0 || f64::from(c.open) < open.max(1.0));
                 c.slice = if passes { (c.slice - units).max(-units) } else { c.slice };
                 passes
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -924,3 +924,25 @@
     assert_eq!(sent(&keeper.handle(1700.0, asks(2, 1700.0))), None);
     assert!(sent(&keeper.handle(1850.0, asks(3, 1850.0))).is_some(), "after it they are taken for lost");
 }
+
+/// A shop's keeper is gone, and each gateway of its set of eighty hears of the shop for the first time: a request let on by
+/// each would be many times the quota.
+#[test]
+fn a_large_set_does_not_pass_a_quota_many_times_when_its_keeper_is_gone() {
+    let keeper = keeper_of("acme", 0, 80, 80);
+    let mut passed = 0.0;
+    for me in (0..80).filter(|me| *me != keeper) {
+        let mut g = gateway(Settings { gateways: 80, me, ..settings() });
+        let Event::Request(r) = ask(1, 0, 1, 1000.0) else { unreachable!("a request") };
+        let waits = g.handle(1000.0, Event::Request(Request { spread: 80, ..r }));
+        let timer = waits.iter().find_map(|a| match a {
+            Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
+            _ => None,
+        });
+        let (token, after) = timer.expect("it asks and waits");
+        let done = g.handle(1000.0 + after, Event::Timer { token });
+        assert!(sent(&done).is_some() || refused(&done), "it is answered at once, either way");
+        passed += if sent(&done).is_some() { 1.0 } else { 0.0 };
+    }
+    assert!(passed <= 4.0, "{passed} units of a store of 4");
+}
