--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -824,7 +824,9 @@
                 self.kill(k);
                 if step + 1 < fault.count {
                     let gap = fault.for_s * 1000.0 / f64::from(fault.count);
-                    self.queue.put(self.now + gap.max(DOWN_MS + 1.0), Ev::Fault { which, step: step + 1 });
+                    // The same keeper is up again before it dies again; a herd dies all at once.
+                    let least = if fault.kind == Kind::KillKeeper { DOWN_MS + 1.0 } else { 1.0 };
+                    self.queue.put(self.now + gap.max(least), Ev::Fault { which, step: step + 1 });
                 }
             }
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -37,8 +37,10 @@
 const FADE_MS: f64 = 2000.0;
 /// A keeper's silence past this part of the request's aim means that it is stalled or gone.
 const ASK_PART: f64 = 0.3;
-/// What a keeper said holds for so long at one of many gateways, which hears of a customer seldom. Of one not heard of it
-/// sends nothing on past a silent keeper: each slice of a large set is too small for one request, and all add up.
+/// What a keeper said holds for so long at one of many gateways, which hears of a customer seldom. Of one
+/// not heard of it
+/// sends nothing on past a silent keeper: each slice of a large set is too small for one request, and all
+/// add up.
 const BLIND_MS: f64 = 30_000.0;
 /// So many times what the keeper granted, or can grant, is asked for; the rest is refused at once.
 const ASK_MORE: f64 = 1.5;
@@ -96,7 +98,8 @@
 const COLD_TIMES: f64 = 1.5;
 /// After so many answers one of many gateways goes by how long they took.
 const LEARNED: f64 = 10.0;
-/// One of many gateways passes over most servers to which it has no connection at rest; these last about so long.
+/// One of many gateways passes over most servers to which it has no connection at rest; these last about
+/// so long.
 const NEW_PART: f64 = 0.1;
 const RESTS_MS: f64 = 10_000.0;
 /// With many gateways, cold servers need no gap while the fleet's mean warmth is above this.
@@ -131,7 +134,8 @@
     1.0 + others / SIDE_BY_SIDE
 }
 
-/// What a server's own word says of the requests it holds beside ours. Where it tells only how busy its cores are:
+/// What a server's own word says of the requests it holds beside ours. Where it tells only how busy its
+/// cores are:
 /// so many that a usual answer takes as much longer as in a queue before two cores that are so busy.
 fn others(report: Report, ours: f64) -> Option<f64> {
     let queue = |busy: f64| {
@@ -229,7 +233,8 @@
         }
         let (now, many) = (self.now, self.cfg.gateways > FEW);
         for line in lines {
-            // Many gateways hear of a new server at once: each begins at a point of its own in the gap to its turn.
+            // Many gateways hear of a new server at once: each begins at a point of its own in the gap to
+            // its turn.
             let phase = if many { self.rng.random::<f64>() } else { 0.0 };
             let (number, s) = self.servers.entry(&line.name, || Live {
                 name: line.name.clone(),
@@ -270,7 +275,7 @@
         let keeper = self.keeper(key, &request);
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
-        let notes = self.cfg.notes;
+        let (notes, many) = (self.cfg.notes, all > FEW);
         let (lot, n) = (if check { self.rng.random::<f64>() } else { 1.0 }, f64::from(spread));
         let c = self.customer(key, name);
         let ms = now - c.slice_at;
@@ -305,7 +310,8 @@
         c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
         c.untold += weight;
         let mut extra = c.own * STOCK_MS / 1000.0 - c.stock;
-        if limited || keeper == me || extra < units || now - c.asked_at < STOCK_MS / 4.0 {
+        let held = many && plan.ceiling_rate > 0.0;
+        if limited || held || keeper == me || extra < units || now - c.asked_at < STOCK_MS / 4.0 {
             extra = 0.0;
         }
         // A repeat may have little of its client's time left: never wait past half of it.
@@ -799,7 +805,8 @@
         group: Option<(Group, u32, u32)>,
         avoid: Option<&Name>,
     ) -> Option<Name> {
-        // Each of many meets a server seldom, and a new connection each time would cost it more than the choice gains.
+        // Each of many meets a server seldom, and a new connection each time would cost it more than the
+        // choice gains.
         let kept = self.cfg.gateways > FEW && group.is_none();
         let at_rest = kept.then(|| self.best_of(class, most, group, avoid, NEW_PART)).flatten();
         at_rest.or_else(|| self.best_of(class, most, group, avoid, 1.0))
@@ -823,7 +830,8 @@
         let aim = self.cfg.classes[class].aim;
         let many = self.cfg.gateways > FEW;
         let means = self.means();
-        // Where most of the fleet is warm, parts alone keep a cold server far from what it can't bear, and a gap for each
+        // Where most of the fleet is warm, parts alone keep a cold server far from what it can't bear, and
+        // a gap for each
         // of many gateways would keep nearly all of them away from it.
         let warm = drawn.iter().take(DRAW_MOST).filter_map(|k| self.servers.at(*k)).map(|s| self.warmth(s));
         let bears = many && warm.sum::<f64>() > BEARS * drawn.len().min(DRAW_MOST) as f64;
@@ -851,12 +859,14 @@
             if warmth < 1.0 && !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
                 continue;
             }
-            // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as it has room.
+            // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as
+            // it has room.
             let time = self.foreseen(s, class, means) * if many { warmth } else { 1.0 };
             // Where nothing of ours is out or has lately gone there is room for one: else nothing more
             // would be learned. All gateways do so, hence the gap grows with their number.
             let quiet = s.out.is_empty() && self.now - s.sent_at > PEEK_MS * f64::from(self.cfg.gateways);
-            // What the first answers took says little, and where nothing is sent for it nothing more is learned.
+            // What the first answers took says little, and where nothing is sent for it nothing more is
+            // learned.
             let learning = many && self.fleet.answers < LEARNED;
             if time > most && !((quiet || learning) && avoid.is_none()) {
                 continue;
@@ -940,7 +950,8 @@
             if ran && h.may_run.is_none() {
                 h.may_run = Some((s.zone, s.cell, h.sent_at));
             }
-            // How busy cores were a while back says less than the count of one that sends a good part of it all.
+            // How busy cores were a while back says less than the count of one that sends a good part of
+            // it all.
             let report = o.report.map(|r| Report { busy: r.busy.filter(|_| many), ..r });
             if let Some(others) = report.and_then(|r| others(r, s.out.len() as f64)) {
                 s.reported = Some((self.now, others));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -946,3 +946,34 @@
     }
     assert!(passed <= 4.0, "{passed} units of a store of 4");
 }
+
+/// Under a ceiling units are used by the keeper's fresh grant. What is granted ahead could only go out by the slices, so it
+/// would lie where it is and be lost to the shop.
+#[test]
+fn one_of_many_asks_for_nothing_ahead_under_a_ceiling() {
+    for (ceiling_rate, ahead) in [(400.0, false), (0.0, true)] {
+        let plan = Plan {
+            rate: 200.0,
+            burst: 400.0,
+            price: 1.0,
+            ceiling_rate,
+            ceiling_burst: 2.0 * ceiling_rate,
+            ..Plan::default()
+        };
+        let cfg = Settings { gateways: 40, plans: vec![plan], ..settings() };
+        let first =
+            (0..40).find(|first| keeper_of("acme", *first, 40, 40) == 1).expect("one of them keeps it");
+        let mut g = gateway(cfg);
+        let mut extra = 0.0;
+        for k in 0..60u64 {
+            let now = 1000.0 + 20.0 * k as f64;
+            let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!("a request") };
+            for action in g.handle(now, Event::Request(Request { first, spread: 40, ..r })) {
+                let Action::Tell { to: 1, text } = action else { continue };
+                let asks = text.split(';').filter(|item| item.starts_with('a'));
+                extra += asks.filter_map(|item| item.split(',').nth(5)?.parse::<f64>().ok()).sum::<f64>();
+            }
+        }
+        assert_eq!(extra > 0.0, ahead, "{extra} units asked for ahead under a ceiling of {ceiling_rate}");
+    }
+}
