--- a/src/control.rs
+++ b/src/control.rs
@@ -100,7 +100,7 @@
 const LEARNED: f64 = 10.0;
 /// One of many gateways passes over most servers to which it has no connection at rest; these last about
 /// so long.
-const NEW_PART: f64 = 0.04;
+const NEW_PART: f64 = 0.1;
 const RESTS_MS: f64 = 10_000.0;
 /// With many gateways, cold servers need no gap while the fleet's mean warmth is above this.
 const BEARS: f64 = 0.4;
