Leave ceilings without a quota to slices alone, as they were

Seen: one_shop_by_both_protocols_stays_under_one_ceiling failed: 1,258 units of 2,116, as a plan without a quota had 62% of its ceiling dealt to a keeper that grants nothing by it. Only plans with a quota and without capped places are dealt out now (ceiling::dealt); for others the slices hold the whole, and what is left and when to come back are told from them.

--- a/src/ceiling.rs
+++ b/src/ceiling.rs
@@ -28,6 +28,12 @@
     Share { rate: plan.ceiling_rate * part, most: (plan.ceiling_burst + plan.ceiling_slack) * part }
 }
 
+/// Whether the keeper's grant covers anything: where there is no quota nothing is granted by one, and where places are
+/// capped a request may wait long after its grant. Then slices hold the whole.
+pub(crate) fn dealt(plan: &Plan) -> bool {
+    plan.ceiling_rate > 0.0 && plan.rate > 0.0 && plan.open == 0
+}
+
 fn keepers_part(plan: &Plan) -> f64 {
     (ABOVE_QUOTA * plan.rate / plan.ceiling_rate).clamp(KEPT.0, KEPT.1)
 }
@@ -35,7 +41,7 @@
 /// What one of so many keepers of a customer holds; where nothing is covered by it, it holds nothing back either. A
 /// gateway that is `alone` is asked for everything.
 pub(crate) fn kept(plan: &Plan, keepers: f64, alone: bool) -> Share {
-    if plan.ceiling_rate <= 0.0 || plan.open > 0 {
+    if !dealt(plan) {
         return part(&Plan::default(), 1.0);
     }
     part(plan, if alone { 1.0 } else { keepers_part(plan) / keepers })
@@ -43,14 +49,14 @@
 
 /// What one of so many gateways of a customer's set may send on without a fresh grant. With nobody to ask it is all.
 pub(crate) fn slice(plan: &Plan, set: f64, notes: bool) -> Share {
-    let asked = notes && plan.open == 0 && plan.ceiling_rate > 0.0;
+    let asked = notes && dealt(plan);
     part(plan, if asked { DEALT - keepers_part(plan) } else { 1.0 } / set)
 }
 
 /// Whether a request that the keeper granted is covered by the keeper's part. Where it may have waited long for a
 /// place since, it is not: what was granted over a time must not go out in one stroke.
 pub(crate) fn covered(plan: &Plan, granted: bool) -> bool {
-    granted && plan.open == 0
+    granted && (dealt(plan) || plan.ceiling_rate <= 0.0)
 }
 
 /// The units at hand of a share.
@@ -95,7 +101,13 @@
     use proptest::prelude::*;
 
     fn plan(rate: f64, burst: f64) -> Plan {
-        Plan { ceiling_rate: rate, ceiling_burst: burst, ceiling_slack: 0.1 * burst, ..Plan::default() }
+        Plan {
+            rate: 0.5 * rate,
+            ceiling_rate: rate,
+            ceiling_burst: burst,
+            ceiling_slack: 0.1 * burst,
+            ..Plan::default()
+        }
     }
 
     #[test]
--- a/src/control.rs
+++ b/src/control.rs
@@ -283,6 +283,9 @@
         c.own *= (-ms / DEMAND_MS).exp();
         c.ceiling.fill(ceiling::slice(&plan, n, notes), ms);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
+        if !ceiling::dealt(&plan) && !c.ceiling.holds(units) {
+            return self.refuse(&request, check);
+        }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted) = (c.told.at, c.told.demand, c.told.granted);
         // Checks come to the keeper itself. Unthinned they would take each unit before others' requests can,
@@ -373,7 +376,9 @@
         let until = |at: f64, level: f64, rate: f64| {
             if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
         };
-        until(at, level, plan.rate)
+        let alone = plan.ceiling_rate > 0.0 && !ceiling::dealt(plan);
+        let slice = if alone { plan.ceiling_rate / f64::from(request.spread.max(1)) } else { 0.0 };
+        until(at, level, plan.rate).max(until(c.slice_at, c.ceiling.level(), slice))
     }
 
     // ---- a check: the same store and ceiling, and nothing is sent ----
@@ -409,7 +414,9 @@
             let pause = if granted { fill(plan.burst - level) } else { self.room_in(c, request) };
             // Others ask for what seems to be left: then the time that the units take to fill will do.
             let pause = if granted || pause > 0.0 { pause } else { fill(request.units) };
-            (store.max(0.0), pause.max(0.0).ceil())
+            let alone = plan.ceiling_rate > 0.0 && !ceiling::dealt(plan);
+            let ceiling = if alone { c.ceiling.level() } else { f64::INFINITY };
+            (store.min(ceiling).max(0.0), pause.max(0.0).ceil())
         });
         self.actions.push(Action::Verdict { id: request.id, granted, remaining, reset });
     }
