Keep ceilings without notes, and restore no more of a slice than it holds

And the agent gave a killed gatekeeper's slice back as an equal part of the whole ceiling, where a slice is now a third of that or less (frostvale::least_sliced tells it). At fault: ceiling::dealt knew nothing of notes; record.rs, the figures for a restore.

Change: one Dealing answers for a tier how its ceilings are dealt out, and a test holds every way of it to the ceiling.

--- a/crates/agent/src/record.rs
+++ b/crates/agent/src/record.rs
@@ -7,6 +7,7 @@
 mod ends;
 
 use crate::config;
+use frostvale::least_sliced;
 use frostvale_checks::Tier;
 use frostvale_link::agent::Link;
 use frostvale_link::proto::{Level as LevelWord, Plan as PlanWord, Plans, UseBatch, Welcome};
@@ -443,12 +444,14 @@
                     };
                     let int = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
                     // The smallest part of the ceiling that this gatekeeper can have of any shop.
-                    let parts = i64::from(welcome.gateways.max(1));
+                    let sliced = least_sliced(plan.rate_milli as f64, plan.ceiling_rate_milli as f64);
+                    let part = sliced / f64::from(welcome.gateways.max(1));
+                    let slice = |n: u64| (n as f64 * part) as i64;
                     let figures = Figures {
                         rate_milli: int(plan.rate_milli),
                         burst_milli: int(plan.burst_milli),
-                        ceiling_rate_milli: int(plan.ceiling_rate_milli) / parts,
-                        ceiling_burst_milli: int(plan.ceiling_burst_milli) / parts,
+                        ceiling_rate_milli: slice(plan.ceiling_rate_milli),
+                        ceiling_burst_milli: slice(plan.ceiling_burst_milli),
                     };
                     let (store, ceiling) = restored(level, &figures, end, now_ms);
                     levels.push(LevelWord {
--- a/src/ceiling.rs
+++ b/src/ceiling.rs
@@ -21,42 +21,65 @@
     most: f64,
 }
 
-fn part(plan: &Plan, part: f64) -> Share {
-    if plan.ceiling_rate <= 0.0 {
-        return Share { rate: f64::INFINITY, most: f64::INFINITY };
-    }
-    Share { rate: plan.ceiling_rate * part, most: (plan.ceiling_burst + plan.ceiling_slack) * part }
+const ENDLESS: Share = Share { rate: f64::INFINITY, most: f64::INFINITY };
+
+fn keepers_part(rate: f64, ceiling_rate: f64) -> f64 {
+    (ABOVE_QUOTA * rate / ceiling_rate).clamp(KEPT.0, KEPT.1)
 }
 
-/// Whether the keeper's grant covers anything: where there is no quota nothing is granted by one, and where places are
-/// capped a request may wait long after its grant. Then slices hold the whole.
-pub(crate) fn dealt(plan: &Plan) -> bool {
-    plan.ceiling_rate > 0.0 && plan.rate > 0.0 && plan.open == 0
+/// The least part of a ceiling that the slices of a whole set hold together, for whoever says ahead what one of them may
+/// have held. Without a quota, without notes or with capped places they hold more.
+#[must_use]
+pub fn least_sliced(rate: f64, ceiling_rate: f64) -> f64 {
+    if rate > 0.0 && ceiling_rate > 0.0 { DEALT - keepers_part(rate, ceiling_rate) } else { 1.0 }
 }
 
-fn keepers_part(plan: &Plan) -> f64 {
-    (ABOVE_QUOTA * plan.rate / plan.ceiling_rate).clamp(KEPT.0, KEPT.1)
+/// How a tier deals its ceilings out.
+#[derive(Clone, Copy)]
+pub(crate) struct Dealing {
+    /// Whether a keeper can be asked.
+    pub notes: bool,
+    /// Whether there is one gateway alone, which is asked for everything.
+    pub alone: bool,
 }
 
-/// What one of so many keepers of a customer holds; where nothing is covered by it, it holds nothing back either. A
-/// gateway that is `alone` is asked for everything.
-pub(crate) fn kept(plan: &Plan, keepers: f64, alone: bool) -> Share {
-    if !dealt(plan) {
-        return part(&Plan::default(), 1.0);
+impl Dealing {
+    fn part(plan: &Plan, part: f64) -> Share {
+        if plan.ceiling_rate <= 0.0 {
+            return ENDLESS;
+        }
+        Share { rate: plan.ceiling_rate * part, most: (plan.ceiling_burst + plan.ceiling_slack) * part }
     }
-    part(plan, if alone { 1.0 } else { keepers_part(plan) / keepers })
-}
 
-/// What one of so many gateways of a customer's set may send on without a fresh grant. With nobody to ask it is all.
-pub(crate) fn slice(plan: &Plan, set: f64, notes: bool) -> Share {
-    let asked = notes && dealt(plan);
-    part(plan, if asked { DEALT - keepers_part(plan) } else { 1.0 } / set)
-}
+    /// Whether a plan's ceiling is held by slices alone: where nobody can be asked, where there is no quota that a keeper
+    /// grants from, and where places are capped, so that a request may wait long after its grant.
+    pub fn sliced(self, plan: &Plan) -> bool {
+        plan.ceiling_rate > 0.0 && !(self.notes && plan.rate > 0.0 && plan.open == 0)
+    }
+
+    /// What one of so many keepers of a customer holds; where slices hold all, it holds nothing back either.
+    pub fn kept(self, plan: &Plan, keepers: f64) -> Share {
+        if self.sliced(plan) {
+            return ENDLESS;
+        }
+        let part = if self.alone { 1.0 } else { keepers_part(plan.rate, plan.ceiling_rate) / keepers };
+        Dealing::part(plan, part)
+    }
 
-/// Whether a request that the keeper granted is covered by the keeper's part. Where it may have waited long for a
-/// place since, it is not: what was granted over a time must not go out in one stroke.
-pub(crate) fn covered(plan: &Plan, granted: bool) -> bool {
-    granted && (dealt(plan) || plan.ceiling_rate <= 0.0)
+    /// What one of so many gateways of a customer's set may send on without a fresh grant.
+    pub fn slice(self, plan: &Plan, set: f64) -> Share {
+        let part = match self.sliced(plan) {
+            true => 1.0,
+            false if self.alone => 0.0,
+            false => DEALT - keepers_part(plan.rate, plan.ceiling_rate),
+        };
+        Dealing::part(plan, part / set)
+    }
+
+    /// Whether a request that the keeper granted is covered by the keeper's part.
+    pub fn covered(self, plan: &Plan, granted: bool) -> bool {
+        granted && !self.sliced(plan)
+    }
 }
 
 /// The units at hand of a share.
@@ -100,6 +123,8 @@
     use super::*;
     use proptest::prelude::*;
 
+    const ASKED: Dealing = Dealing { notes: true, alone: false };
+
     fn plan(rate: f64, burst: f64) -> Plan {
         Plan {
             rate: 0.5 * rate,
@@ -113,19 +138,40 @@
     #[test]
     fn without_a_ceiling_everything_fits_and_the_record_holds_nothing() {
         let mut store = Store::default();
-        store.fill(slice(&Plan::default(), 8.0, true), 0.0);
+        store.fill(ASKED.slice(&Plan::default(), 8.0), 0.0);
         store.take(1e9);
         assert!(store.holds(1e9));
         assert!(store.level().abs() < f64::EPSILON);
     }
 
+    /// In every kind of tier all that may go out of a set at once is the ceiling's store at the most.
+    #[test]
+    fn no_way_of_dealing_holds_more_than_the_ceiling() {
+        let whole = plan(20.0, 40.0);
+        for (rate, open) in [(0.0, 0), (5.0, 0), (30.0, 0), (10.0, 3)] {
+            for (notes, set) in [(true, 1.0), (true, 5.0), (false, 5.0)] {
+                let (p, way) = (Plan { rate, open, ..whole.clone() }, Dealing { notes, alone: set <= 1.0 });
+                // Where slices hold all, a keeper's grant covers nothing, and its endless part is never drawn on.
+                let kept = if way.sliced(&p) { 0.0 } else { way.kept(&p, 1.0).most };
+                let all = kept + set * way.slice(&p, set).most;
+                assert!(
+                    all <= 44.0 + 1e-9 && all >= 0.9 * 44.0,
+                    "{all} of 44 at {rate}, {open}, {notes}, {set}"
+                );
+                assert!(
+                    set * way.slice(&p, set).rate + 1e-9 >= least_sliced(rate, 20.0) * 20.0 || set <= 1.0
+                );
+            }
+        }
+    }
+
     #[test]
     fn a_new_life_holds_nothing_at_first() {
         let p = plan(20.0, 40.0);
         let mut store = Store::default();
-        store.fill(kept(&p, 1.0, false), 0.0);
+        store.fill(ASKED.kept(&p, 1.0), 0.0);
         assert!(!store.holds(0.5));
-        store.fill(kept(&p, 1.0, false), 1000.0);
+        store.fill(ASKED.kept(&p, 1.0), 1000.0);
         assert!(store.holds(12.0) && !store.holds(13.0));
     }
 
@@ -148,7 +194,7 @@
                 let who = who as usize % stores.len();
                 let keeps = who < keepers as usize;
                 let share =
-                    if keeps { kept(&p, f64::from(keepers), false) } else { slice(&p, f64::from(set), true) };
+                    if keeps { ASKED.kept(&p, f64::from(keepers)) } else { ASKED.slice(&p, f64::from(set)) };
                 if dies {
                     (stores[who], at[who]) = (Store::default(), now);
                 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
 use crate::api::*;
-use crate::ceiling;
+use crate::ceiling::{Dealing, Store};
 use crate::hands::{Hands, Waits};
 use crate::live::*;
 use crate::lots::Lots;
@@ -58,6 +58,8 @@
 const AGAIN_MS: f64 = 150.0;
 /// The part of the peers' intake that notes may fill, a tenth of a second's at one stroke.
 const INTAKE_PART: f64 = 0.75;
+/// The part of it that notes to all may fill.
+const RUMORS_PART: f64 = 0.25;
 /// Customers not seen for this long are forgotten: by then every bucket is full again.
 const IDLE_MS: f64 = 60_000.0;
 /// How much one answer moves what is known of a server's speed and of its failures.
@@ -129,6 +131,20 @@
     actions: Vec<Action>,
 }
 
+/// What server is wanted.
+#[derive(Clone, Copy)]
+struct Want<'a> {
+    class: usize,
+    most: f64,
+    group: Option<(Group, u32, u32)>,
+    avoid: Option<&'a Name>,
+}
+
+/// How many notes to all one of many gateways may send a second: together a part of what each takes in.
+fn rumor_rate(cfg: &Settings) -> f64 {
+    if cfg.notes { RUMORS_PART * cfg.note_intake / f64::from(cfg.gateways) } else { 0.0 }
+}
+
 /// How much longer an answer takes with so many others in flight.
 fn slowdown(others: f64) -> f64 {
     1.0 + others / SIDE_BY_SIDE
@@ -171,26 +187,20 @@
         let tier = |v: f64| tops.iter().rposition(|top| v <= *top).unwrap_or(0);
         let tier_of =
             cfg.classes.iter().map(|c| cfg.plans.iter().map(|p| tier(value(c, p))).collect()).collect();
-        let tiers = tops.len().max(1);
+        let (tiers, many) = (tops.len().max(1), cfg.gateways > FEW);
         Ok(Control {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
             customers: Swept::default(),
             servers: Roster::default(),
-            rumors: Rumors::new(
-                cfg.me,
-                cfg.gateways,
-                FEW,
-                if cfg.notes { cfg.note_intake } else { 0.0 },
-                seed,
-            ),
+            rumors: Rumors::new(cfg.me, if many { rumor_rate(&cfg) } else { 0.0 }, seed),
             held: Hands::default(),
             waits: Waits::default(),
             asks: 0,
             post: Post::default(),
             fleet: Fleet { class_pace: vec![0.0; cfg.classes.len()], ..Fleet::default() },
             tier_of,
-            window: Window::new(tiers, cfg.gateways > FEW),
+            window: Window::new(tiers, many),
             passed: vec![f64::NEG_INFINITY; tiers],
             retries: RETRY_MOST,
             room: ROOM * (1.5 - 0.5 * (ALIKE_PEERS / f64::from(cfg.gateways)).min(1.0)),
@@ -199,6 +209,15 @@
         })
     }
 
+    /// Whether this is one of many gateways, each of which sees little: then they act as some of many.
+    fn many(&self) -> bool {
+        self.cfg.gateways > FEW
+    }
+
+    fn deal(&self) -> Dealing {
+        Dealing { notes: self.cfg.notes, alone: self.cfg.gateways == 1 }
+    }
+
     /// Takes one event and gives what is to be done, in that order.
     pub fn handle(&mut self, now: f64, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -231,7 +250,7 @@
             }
             gone.into_iter().for_each(|number| self.servers.down(number));
         }
-        let (now, many) = (self.now, self.cfg.gateways > FEW);
+        let (now, many) = (self.now, self.many());
         for line in lines {
             // Many gateways hear of a new server at once: each begins at a point of its own in the gap to
             // its turn.
@@ -275,15 +294,15 @@
         let keeper = self.keeper(key, &request);
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
-        let (notes, many) = (self.cfg.notes, all > FEW);
+        let (deal, many) = (self.deal(), self.many());
         let (lot, n) = (if check { self.rng.random::<f64>() } else { 1.0 }, f64::from(spread));
         let c = self.customer(key, name);
         let ms = now - c.slice_at;
         c.slice_at = now;
         c.own *= (-ms / DEMAND_MS).exp();
-        c.ceiling.fill(ceiling::slice(&plan, n, notes), ms);
+        c.ceiling.fill(deal.slice(&plan, n), ms);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
-        if !ceiling::dealt(&plan) && !c.ceiling.holds(units) {
+        if deal.sliced(&plan) && !c.ceiling.holds(units) {
             return self.refuse(&request, check);
         }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
@@ -376,8 +395,8 @@
         let until = |at: f64, level: f64, rate: f64| {
             if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
         };
-        let alone = plan.ceiling_rate > 0.0 && !ceiling::dealt(plan);
-        let slice = if alone { plan.ceiling_rate / f64::from(request.spread.max(1)) } else { 0.0 };
+        let slice =
+            if self.deal().sliced(plan) { plan.ceiling_rate / f64::from(request.spread.max(1)) } else { 0.0 };
         until(at, level, plan.rate).max(until(c.slice_at, c.ceiling.level(), slice))
     }
 
@@ -386,7 +405,7 @@
     /// A check with room in its quota takes its units from the ceiling too.
     fn decide(&mut self, job: &Job) {
         let units = job.request.units;
-        let covered = ceiling::covered(&self.cfg.plans[job.request.plan], job.place.is_some());
+        let covered = self.deal().covered(&self.cfg.plans[job.request.plan], job.place.is_some());
         match self.customers.get_mut(&job.key) {
             Some(c) if covered || c.ceiling.holds(units) => {
                 c.ceiling.take(if covered { 0.0 } else { units });
@@ -414,8 +433,7 @@
             let pause = if granted { fill(plan.burst - level) } else { self.room_in(c, request) };
             // Others ask for what seems to be left: then the time that the units take to fill will do.
             let pause = if granted || pause > 0.0 { pause } else { fill(request.units) };
-            let alone = plan.ceiling_rate > 0.0 && !ceiling::dealt(plan);
-            let ceiling = if alone { c.ceiling.level() } else { f64::INFINITY };
+            let ceiling = if self.deal().sliced(plan) { c.ceiling.level() } else { f64::INFINITY };
             (store.min(ceiling).max(0.0), pause.max(0.0).ceil())
         });
         self.actions.push(Action::Verdict { id: request.id, granted, remaining, reset });
@@ -428,9 +446,10 @@
             return;
         }
         let keeper = self.keeper(key, request);
+        let deal = self.deal();
         if let Some(c) = self.customers.get_mut(&key) {
             let (plan, n) = (&self.cfg.plans[c.plan as usize], f64::from(request.spread.max(1)));
-            c.ceiling.give(request.units, ceiling::slice(plan, n, self.cfg.notes));
+            c.ceiling.give(request.units, deal.slice(plan, n));
         }
         self.tell(key, keeper, request.plan, -request.units, None);
     }
@@ -452,7 +471,7 @@
             let known = self.customers.contains_key(&l.key);
             let c = self.customer(l.key, l.plan);
             (c.level, c.slice) = (c.level.min(l.store), c.slice.min(l.store));
-            c.ceiling = if known { c.ceiling } else { ceiling::Store::new(l.ceiling) };
+            c.ceiling = if known { c.ceiling } else { Store::new(l.ceiling) };
         }
     }
 
@@ -505,7 +524,7 @@
         let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
         let open = if w.check { 0.0 } else { open };
         let lot = self.rng.random::<f64>();
-        let many = self.cfg.gateways > FEW;
+        let many = self.many();
         let (now, units) = (self.now, w.request.units);
         let passes = !w.queued
             && self.customers.get_mut(&w.key).is_some_and(|c| {
@@ -548,11 +567,15 @@
         }
         let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
         // Asked again here: others of its customer may have been sent on while it waited.
-        let covered = ceiling::covered(&self.cfg.plans[plan], job.place.is_some());
+        let covered = self.deal().covered(&self.cfg.plans[plan], job.place.is_some());
         let above = !covered && self.customers.get(&job.key).is_none_or(|c| !c.ceiling.holds(units));
         let most = self.room * self.cfg.classes[job.request.class].aim;
         let passes = !above && !self.throttled(job.tier);
-        let chosen = if passes { self.choose(job.request.class, most, None, None) } else { None };
+        let chosen = if passes {
+            self.choose(Want { class: job.request.class, most, group: None, avoid: None })
+        } else {
+            None
+        };
         let Some(server) = chosen else {
             // A client's own repeat that is refused here was counted with its first try.
             if !job.request.repeat && !above {
@@ -583,18 +606,18 @@
     /// Brings a kept store up to now.
     fn refill(&mut self, key: u64) {
         let Some(plan) = self.customers.get(&key).map(|c| c.plan as usize) else { return };
-        let parts = f64::from(self.keepers(plan));
+        let (parts, deal, many) = (f64::from(self.keepers(plan)), self.deal(), self.many());
         let Some(c) = self.customers.get_mut(&key) else { return };
         let plan = &self.cfg.plans[c.plan as usize];
         let ms = self.now - c.at;
         c.at = self.now;
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
-        c.kept.fill(ceiling::kept(plan, parts, self.cfg.gateways == 1), ms);
+        c.kept.fill(deal.kept(plan, parts), ms);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
         // Of many gateways none knows how long the others' attempts take: as long as one may be out.
         let longest = self.cfg.classes.iter().fold(0.0, |most: f64, c| most.max(c.aim));
-        let lease = if self.cfg.gateways > FEW { longest } else { LEASE * (self.fleet.took + 20.0) };
+        let lease = if many { longest } else { LEASE * (self.fleet.took + 20.0) };
         let now = self.now;
         if let Some(p) = &mut c.places {
             while p.out.front().is_some_and(|(_, at)| now - at > lease) {
@@ -760,6 +783,13 @@
         self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age
     }
 
+    /// The same of some of these servers on average.
+    fn mean_warmth(&self, servers: &[u32]) -> f64 {
+        let some = servers.iter().take(DRAW_MOST).filter_map(|k| self.servers.at(*k));
+        let (sum, count) = some.fold((0.0, 0.0), |(sum, n), s| (sum + self.warmth(s), n + 1.0));
+        sum / f64::max(count, 1.0)
+    }
+
     /// What this gateway has out at a server on average, and what the peers together have there: as this one
     /// on average, or as fresh reports from any server say.
     fn means(&self) -> (f64, f64) {
@@ -805,29 +835,16 @@
     /// The server with the least expected time of some drawn by lot that have room: not foreseen to
     /// take longer than `most`, in the given group, not the one to avoid. With few gateways each
     /// knows every server and looks at all of them; with many, all would run after the same few.
-    fn choose(
-        &mut self,
-        class: usize,
-        most: f64,
-        group: Option<(Group, u32, u32)>,
-        avoid: Option<&Name>,
-    ) -> Option<Name> {
-        // Each of many meets a server seldom, and a new connection each time would cost it more than the
-        // choice gains.
-        let kept = self.cfg.gateways > FEW && group.is_none();
-        let at_rest = kept.then(|| self.best_of(class, most, group, avoid, NEW_PART)).flatten();
-        at_rest.or_else(|| self.best_of(class, most, group, avoid, 1.0))
+    fn choose(&mut self, want: Want) -> Option<Name> {
+        // Each of many meets a server seldom: a new connection each time would cost more than it gains.
+        let kept = self.many() && want.group.is_none();
+        let at_rest = kept.then(|| self.best_of(want, NEW_PART)).flatten();
+        at_rest.or_else(|| self.best_of(want, 1.0))
     }
 
     /// The same of those with a connection at rest, and of a part of the others.
-    fn best_of(
-        &mut self,
-        class: usize,
-        most: f64,
-        group: Option<(Group, u32, u32)>,
-        avoid: Option<&Name>,
-        others: f64,
-    ) -> Option<Name> {
+    fn best_of(&mut self, want: Want, others: f64) -> Option<Name> {
+        let Want { class, most, group, avoid } = want;
         let drawn = self.servers.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
             .clamp(LOOK, LOOK_MOST)
@@ -835,13 +852,11 @@
         // Of a large fleet no more are drawn than are likely to hold so many with room.
         let mut lots = Lots::new(drawn.len(), DRAW_MOST, &mut self.rng);
         let aim = self.cfg.classes[class].aim;
-        let many = self.cfg.gateways > FEW;
+        let many = self.many();
         let means = self.means();
-        // Where most of the fleet is warm, parts alone keep a cold server far from what it can't bear, and
-        // a gap for each
-        // of many gateways would keep nearly all of them away from it.
-        let warm = drawn.iter().take(DRAW_MOST).filter_map(|k| self.servers.at(*k)).map(|s| self.warmth(s));
-        let bears = many && warm.sum::<f64>() > BEARS * drawn.len().min(DRAW_MOST) as f64;
+        // Where most of the fleet is warm, parts alone keep a cold server far from what it can't bear, and a
+        // gap for each of many gateways would keep nearly all of them away from it.
+        let mut bears: Option<bool> = None;
         let mut best: Option<(f64, u32)> = None;
         let mut seen = 0.0;
         while let Some(k) = lots.next(&mut self.rng) {
@@ -863,7 +878,9 @@
             }
             // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
             let gap = self.pace(s) * f64::from(self.cfg.gateways) / (COLD_TIMES * SIDE_BY_SIDE);
-            if warmth < 1.0 && !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
+            let bears =
+                warmth >= 1.0 || *bears.get_or_insert_with(|| many && self.mean_warmth(drawn) > BEARS);
+            if !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
                 continue;
             }
             // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as
@@ -937,10 +954,10 @@
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
         let guess = self.servers.get(&o.server).map_or(0.0, |s| self.pace(s));
         let warmth = self.servers.get(&o.server).map_or(1.0, |s| self.warmth(s));
+        let many = self.many();
         let Some(h) = self.held.get_mut(o.id) else { return };
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
         let (plan, units) = (h.job.request.plan, h.job.request.units);
-        let many = self.cfg.gateways > FEW;
         let well = match o.ending {
             Ending::Ok => Some(true),
             Ending::Cancelled | Ending::Moot => None,
@@ -1042,7 +1059,7 @@
                     let (Job { key, keeper, place, .. }, plan) = (&h.job, h.job.request.plan);
                     self.tell(*key, *keeper, plan, 0.0, *place);
                     // Said twice, as a note that is lost would keep the place shut for the whole lease.
-                    if self.cfg.gateways > FEW && *keeper != self.cfg.me {
+                    if self.many() && *keeper != self.cfg.me {
                         let item = Item::Tell { plan, units: 0.0, place: *place };
                         self.post.repeat(*keeper, self.now + AGAIN_MS, item.write(*key, self.now));
                     }
@@ -1072,7 +1089,7 @@
             return None;
         }
         let class = h.job.request.class;
-        self.choose(class, most, group, Some(&o.server))
+        self.choose(Want { class, most, group, avoid: Some(&o.server) })
     }
 
     /// Puts an item into the next note to a peer, which goes after `wait` ms at the latest.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 mod window;
 
 pub use api::*;
+pub use ceiling::least_sliced;
 pub use conf::{Bounds, Conf, ConfClass, ConfPlan, EffectWord};
 pub use control::Control;
 pub use note::keeper_of;
--- a/src/rumors.rs
+++ b/src/rumors.rs
@@ -22,8 +22,6 @@
 const ENOUGH: f64 = 1.5;
 /// News waits for up to so long, by lot.
 const LOT_MS: f64 = 100.0;
-/// The part of the gateways' intake of notes that rumours may fill, all together.
-const INTAKE_PART: f64 = 0.25;
 /// An attempt that takes so many times what was expected is spoken of before it ends.
 const OVERDUE: f64 = 5.0;
 /// How often the average is taken, and of how many servers.
@@ -70,8 +68,9 @@
     known: BTreeMap<u32, Talk>,
     news: BTreeSet<u32>,
     due: f64,
-    /// Attempts that are out: until when each may be, and its server.
-    out: BTreeMap<u64, (f64, Name)>,
+    /// Attempts that are out: until when each may be, in microseconds, and its server; and the same in order of time.
+    out: BTreeMap<u64, (u64, Name)>,
+    by_time: BTreeSet<(u64, u64)>,
     /// What is said of a server on average, as of when, and the server to go on from for the next.
     usual: f64,
     usual_at: f64,
@@ -82,16 +81,18 @@
     pub dropped: u64,
 }
 
+fn micros(ms: f64) -> u64 {
+    (ms * 1000.0).max(0.0) as u64
+}
+
 /// A server's name in rumours.
 fn short(name: &str) -> u32 {
     name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
 
 impl Rumors {
-    /// For one of so many gateways, each of which takes in `intake` notes a second. `few` of them need no rumours: each
-    /// sees enough itself.
-    pub fn new(me: u32, gateways: u32, few: u32, intake: f64, seed: u64) -> Rumors {
-        let rate = if gateways > few { INTAKE_PART * intake / f64::from(gateways) } else { 0.0 };
+    /// For gateway `me`, which may send so many notes to all a second. With 0 it neither speaks nor listens.
+    pub fn new(me: u32, rate: f64, seed: u64) -> Rumors {
         Rumors {
             me,
             rate,
@@ -101,6 +102,7 @@
             news: BTreeSet::new(),
             due: f64::INFINITY,
             out: BTreeMap::new(),
+            by_time: BTreeSet::new(),
             usual: 0.0,
             usual_at: f64::NEG_INFINITY,
             usual_from: 0,
@@ -129,26 +131,35 @@
     pub fn sent(&mut self, now: f64, attempt: u64, name: &Name, expected: f64) {
         // Before any answer nothing is known of what to expect.
         if self.rate > 0.0 && expected > 0.0 {
-            self.out.insert(attempt, (now + OVERDUE * expected, name.clone()));
+            self.forget(attempt);
+            let until = micros(now + OVERDUE * expected);
+            self.out.insert(attempt, (until, name.clone()));
+            self.by_time.insert((until, attempt));
         }
     }
 
     /// It has ended: well, badly, or in a way that says nothing. One that was overdue has been spoken of.
     pub fn ended(&mut self, now: f64, attempt: u64, name: &str, well: Option<bool>) {
-        let watched = self.out.remove(&attempt);
+        let watched = self.forget(attempt);
         match well {
-            Some(true) if watched.is_some_and(|(until, ..)| now < until) => self.good(now, name),
+            Some(true) if watched.is_some_and(|(until, _)| micros(now) < until) => self.good(now, name),
             Some(false) => self.bad(now, name),
             _ => {}
         }
     }
 
+    fn forget(&mut self, attempt: u64) -> Option<(u64, Name)> {
+        let watched = self.out.remove(&attempt)?;
+        self.by_time.remove(&(watched.0, attempt));
+        Some(watched)
+    }
+
     /// Speaks of attempts that have been out for too long by now.
     fn watch(&mut self, now: f64) {
-        let late: Vec<u64> =
-            self.out.iter().filter(|(_, (until, ..))| now >= *until).map(|(id, _)| *id).collect();
-        for id in late {
-            if let Some((_, name)) = self.out.remove(&id) {
+        while let Some((_, attempt)) =
+            self.by_time.first().copied().filter(|(until, _)| *until <= micros(now))
+        {
+            if let Some((_, name)) = self.forget(attempt) {
                 self.bad(now, &name);
             }
         }
@@ -183,7 +194,11 @@
         if self.rate <= 0.0 || from == self.me {
             return;
         }
-        for word in text.split(',').take(NAMED) {
+        if text.split(',').nth(NAMED).is_some() {
+            self.dropped += 1;
+            return;
+        }
+        for word in text.split(',') {
             let id = u32::from_str_radix(word, 16).ok().filter(|_| word.len() <= 8);
             let Some((id, talk)) = id.and_then(|id| Some((id, self.known.get_mut(&id)?))) else {
                 self.dropped += 1;
@@ -255,12 +270,11 @@
     use super::*;
     use proptest::prelude::*;
 
-    const FEW: u32 = 16;
-
     /// Gateways that all know the same servers, `s0` and on.
     fn tier(gateways: u32, servers: u32) -> Vec<Rumors> {
+        let rate = if gateways < 4 { 0.0 } else { 15.0 / f64::from(gateways) };
         let one = |me| {
-            let mut r = Rumors::new(me, gateways, FEW, 60.0, u64::from(me));
+            let mut r = Rumors::new(me, rate, u64::from(me));
             (0..servers).for_each(|k| r.listed(&format!("s{k}"), true, false));
             r
         };
@@ -326,6 +340,9 @@
         }
         assert_eq!(r.dropped, 9);
         assert!(r.of(0.0, "s0") <= 0.0 && r.of(0.0, "s1") <= 0.0);
+        let many = vec![format!("{:x}", short("s0")); 17].join(",");
+        r.hear(0.0, 1, &format!("{MARK}{many}"));
+        assert_eq!((r.dropped, r.of(0.0, "s0")), (10, 0.0), "too many names are none");
         r.hear(0.0, 0, &format!("{MARK}{:x}", short("s0")));
         assert!(r.of(0.0, "s0") <= 0.0, "one's own words that come back are not another voice");
     }
@@ -386,7 +403,7 @@
                 }
                 notes += pass(&mut all, now, lost);
             }
-            let most = f64::from(gateways) * BURST + INTAKE_PART * 60.0 * 10.0 + f64::from(gateways);
+            let most = f64::from(gateways) * BURST + 15.0 * 10.0 + f64::from(gateways);
             prop_assert!(notes as f64 <= most, "{notes} notes of {most}");
         }
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -977,3 +977,41 @@
         assert_eq!(extra > 0.0, ahead, "{extra} units asked for ahead under a ceiling of {ceiling_rate}");
     }
 }
+
+/// Without notes nobody can be asked, and each gateway goes by its slice alone: a keeper's part on top of these would be
+/// more than the ceiling.
+#[test]
+fn without_notes_the_slices_hold_the_whole_ceiling() {
+    let plan = Plan {
+        rate: 100.0,
+        burst: 100.0,
+        price: 1.0,
+        ceiling_rate: 10.0,
+        ceiling_burst: 40.0,
+        ceiling_slack: 4.0,
+        ..Plan::default()
+    };
+    let cfg = Settings { gateways: 4, notes: false, plans: vec![plan], ..settings() };
+    let mut tier: Vec<Control> = (0..4).map(|me| gateway(Settings { me, ..cfg.clone() })).collect();
+    let mut passed = 0.0;
+    for k in 0..8000u64 {
+        let (who, now) = ((k % 4) as usize, k as f64 * 2.5);
+        let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!("a request") };
+        let mut done = tier[who].handle(now, Event::Request(Request { spread: 4, ..r }));
+        let waits = done.iter().find_map(|a| match a {
+            Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
+            _ => None,
+        });
+        if let Some((token, after)) = waits {
+            assert!(after <= 0.0, "there is nobody to wait for");
+            done = tier[who].handle(now, Event::Timer { token });
+        }
+        if let Some(server) = sent(&done) {
+            passed += 1.0;
+            tier[who].handle(now + 1.0, end(k, &server, Ending::Ok, 1.0));
+        }
+        let most = 10.0 * now / 1000.0 + 40.0 + 4.0;
+        assert!(passed <= most, "{passed} units by {now} ms, {most} at most");
+    }
+    assert!(passed >= 0.8 * 200.0, "and the ceiling is used: {passed}");
+}
