--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 
 use crate::api::*;
 use crate::ceiling::{Dealing, Store};
+use crate::estimate::{ALIKE_PEERS, SIDE_BY_SIDE, Seen, View};
 use crate::hands::{Hands, Waits};
 use crate::live::*;
 use crate::lots::Lots;
@@ -38,9 +39,8 @@
 /// A keeper's silence past this part of the request's aim means that it is stalled or gone.
 const ASK_PART: f64 = 0.3;
 /// What a keeper said holds for so long at one of many gateways, which hears of a customer seldom. Of one
-/// not heard of it
-/// sends nothing on past a silent keeper: each slice of a large set is too small for one request, and all
-/// add up.
+/// not heard of it sends nothing on past a silent keeper: each slice of a large set is too small for one
+/// request, and all add up.
 const BLIND_MS: f64 = 30_000.0;
 /// So many times what the keeper granted, or can grant, is asked for; the rest is refused at once.
 const ASK_MORE: f64 = 1.5;
@@ -62,35 +62,11 @@
 const RUMORS_PART: f64 = 0.25;
 /// Customers not seen for this long are forgotten: by then every bucket is full again.
 const IDLE_MS: f64 = 60_000.0;
-/// How much one answer moves what is known of a server's speed and of its failures.
-const LEARN: f64 = 0.04;
-/// What is known of a server's speed grows old over this time.
-const PACE_MS: f64 = 20_000.0;
-/// The part of what this gateway has out at a server now that its peers are taken to have there, and
-/// the most peers this is held of: what one of hundreds has out says nothing of the others' part.
-const ALIKE: f64 = 0.5;
-const ALIKE_PEERS: f64 = 3.0;
 /// A request looks at so many servers with room at the least, at more where each gateway knows more.
 const LOOK: f64 = 2.0;
 /// However large the fleet: the best of so many is hardly worse than the best of all.
 const LOOK_MOST: f64 = 16.0;
 const DRAW_MOST: usize = 64;
-/// A load report is worth less and less over this time.
-const REPORT_MS: f64 = 1000.0;
-/// The same for a server that is thought to have room for nothing: it is seldom asked.
-const LEARN_SLOW: f64 = 0.3;
-/// The same for what is known of all servers; the first answers count alike.
-const LEARN_ALL: f64 = 0.02;
-/// How much one report moves what is known of the load at all servers.
-const LEARN_REPORT: f64 = 0.1;
-/// The mean in flight over all servers is taken over this many times as long where gateways are many.
-const FLEET_TIMES: f64 = 5.0;
-/// A server's failures are forgotten over this time, so that it is tried again.
-const FAIL_MS: f64 = 4000.0;
-/// Requests in flight at a server beside one's own that make its answer take twice as long.
-const SIDE_BY_SIDE: f64 = 2.0;
-/// Cores are never taken to be busier than this: reports are noisy, and a queue's length ends nowhere.
-const BUSY_MOST: f64 = 0.95;
 /// Further attempts earned by each request, and the most that are saved up.
 const RETRY_PART: f64 = 0.15;
 const RETRY_MOST: f64 = 10.0;
@@ -145,28 +121,6 @@
     if cfg.notes { RUMORS_PART * cfg.note_intake / f64::from(cfg.gateways) } else { 0.0 }
 }
 
-/// How much longer an answer takes with so many others in flight.
-fn slowdown(others: f64) -> f64 {
-    1.0 + others / SIDE_BY_SIDE
-}
-
-/// What a server's own word says of the requests it holds beside ours. Where it tells only how busy its
-/// cores are:
-/// so many that a usual answer takes as much longer as in a queue before two cores that are so busy.
-fn others(report: Report, ours: f64) -> Option<f64> {
-    let queue = |busy: f64| {
-        let square = busy.clamp(0.0, BUSY_MOST).powi(2);
-        SIDE_BY_SIDE * square / (1.0 - square)
-    };
-    report.in_flight.map(|holds| (holds - ours).max(0.0)).or(report.busy.map(queue))
-}
-
-/// Moves a known time part of the way to a new one, by ratio: a few answers of many times the usual
-/// work must not make a whole class or server look slow, as they would in a plain mean.
-fn toward(known: f64, new: f64, part: f64) -> f64 {
-    known * (new / known).powf(part)
-}
-
 impl Control {
     /// A gateway that has just started and knows nothing yet.
     ///
@@ -214,6 +168,10 @@
         self.cfg.gateways > FEW
     }
 
+    fn view(&self) -> View<'_> {
+        View { fleet: &self.fleet, cfg: &self.cfg, servers: self.servers.len(), now: self.now }
+    }
+
     fn deal(&self) -> Dealing {
         Dealing { notes: self.cfg.notes, alone: self.cfg.gateways == 1 }
     }
@@ -774,64 +732,6 @@
 
     // ---- the choice of server ----
 
-    /// The part of its capacity a server has by now at the least.
-    fn warmth(&self, s: &Live) -> f64 {
-        if s.since <= 0.0 || self.cfg.warm_within <= 0.0 {
-            return 1.0;
-        }
-        let age = ((self.now - s.since) / self.cfg.warm_within).clamp(0.0, 1.0);
-        self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age
-    }
-
-    /// The same of some of these servers on average.
-    fn mean_warmth(&self, servers: &[u32]) -> f64 {
-        let some = servers.iter().take(DRAW_MOST).filter_map(|k| self.servers.at(*k));
-        let (sum, count) = some.fold((0.0, 0.0), |(sum, n), s| (sum + self.warmth(s), n + 1.0));
-        sum / f64::max(count, 1.0)
-    }
-
-    /// What this gateway has out at a server on average, and what the peers together have there: as this one
-    /// on average, or as fresh reports from any server say.
-    fn means(&self) -> (f64, f64) {
-        let mean = self.mean_out() / self.servers.len().max(1) as f64;
-        (mean, self.mixed(self.fleet.reported, mean * f64::from(self.cfg.gateways - 1)))
-    }
-
-    /// What is thought to be in flight at a server, from all gateways.
-    fn load(&self, s: &Live, (mean, fleet): (f64, f64)) -> f64 {
-        let peers = f64::from(self.cfg.gateways - 1);
-        // Peers see much the same rush: the mean alone lags behind a queue that all build at once.
-        let usual = s.usual_now(self.now).max(ALIKE * s.out.len() as f64);
-        let usual = (fleet + (usual - mean) * peers.min(ALIKE_PEERS)).max(0.0);
-        s.out.len() as f64 + self.mixed(s.reported, usual)
-    }
-
-    /// A report while it is fresh, the guess as it grows old.
-    fn mixed(&self, report: Option<(f64, f64)>, guess: f64) -> f64 {
-        report.map_or(guess, |(at, said)| {
-            let kept = (-(self.now - at) / REPORT_MS).exp();
-            said * kept + guess * (1.0 - kept)
-        })
-    }
-
-    /// The time an answer takes from this server alone with nothing else to do, for a usual class.
-    /// What was seen grows old and gives way to what is known of its kind.
-    fn pace(&self, s: &Live) -> f64 {
-        let kind =
-            self.fleet.kind_pace.get(&s.kind).copied().or(self.fleet.pace).unwrap_or(0.0) / self.warmth(s);
-        s.pace.map_or(kind, |p| toward(kind, p, (-(self.now - s.paced_at) / PACE_MS).exp()))
-    }
-
-    /// The time an answer should take from this server.
-    fn foreseen(&self, s: &Live, class: usize, means: (f64, f64)) -> f64 {
-        let weight = match (self.fleet.class_pace[class], self.fleet.pace) {
-            (c, Some(fleet)) if c > 0.0 && fleet > 0.0 => c / fleet,
-            _ => 1.0,
-        };
-        let oldest = s.out.values().copied().fold(self.now, f64::min);
-        (weight * self.pace(s) * slowdown(self.load(s, means))).max(0.5 * (self.now - oldest))
-    }
-
     /// The server with the least expected time of some drawn by lot that have room: not foreseen to
     /// take longer than `most`, in the given group, not the one to avoid. With few gateways each
     /// knows every server and looks at all of them; with many, all would run after the same few.
@@ -853,7 +753,8 @@
         let mut lots = Lots::new(drawn.len(), DRAW_MOST, &mut self.rng);
         let aim = self.cfg.classes[class].aim;
         let many = self.many();
-        let means = self.means();
+        let view = View { fleet: &self.fleet, cfg: &self.cfg, servers: self.servers.len(), now: self.now };
+        let means = view.means();
         // Where most of the fleet is warm, parts alone keep a cold server far from what it can't bear, and a
         // gap for each of many gateways would keep nearly all of them away from it.
         let mut bears: Option<bool> = None;
@@ -862,7 +763,7 @@
         while let Some(k) = lots.next(&mut self.rng) {
             let number = drawn[k];
             let Some(s) = self.servers.at(number).filter(|s| avoid != Some(&s.name)) else { continue };
-            let warmth = self.warmth(s);
+            let warmth = view.warmth(s);
             // Were it chosen each time, a cold server would get its part of a warm one's share.
             let part = COLD_PART * warmth / if many { 1.0 } else { look };
             if warmth < 1.0 && self.rng.random::<f64>() >= part {
@@ -877,15 +778,19 @@
                 continue;
             }
             // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
-            let gap = self.pace(s) * f64::from(self.cfg.gateways) / (COLD_TIMES * SIDE_BY_SIDE);
-            let bears =
-                warmth >= 1.0 || *bears.get_or_insert_with(|| many && self.mean_warmth(drawn) > BEARS);
+            let gap = view.pace(s) * f64::from(self.cfg.gateways) / (COLD_TIMES * SIDE_BY_SIDE);
+            let mean = || {
+                let some = drawn.iter().take(DRAW_MOST).filter_map(|k| self.servers.at(*k));
+                let (sum, count) = some.fold((0.0, 0.0), |(sum, n), s| (sum + view.warmth(s), n + 1.0));
+                sum / f64::max(count, 1.0)
+            };
+            let bears = warmth >= 1.0 || *bears.get_or_insert_with(|| many && mean() > BEARS);
             if !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
                 continue;
             }
             // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as
             // it has room.
-            let time = self.foreseen(s, class, means) * if many { warmth } else { 1.0 };
+            let time = view.foreseen(s, class, means) * if many { warmth } else { 1.0 };
             // Where nothing of ours is out or has lately gone there is room for one: else nothing more
             // would be learned. All gateways do so, hence the gap grows with their number.
             let quiet = s.out.is_empty() && self.now - s.sent_at > PEEK_MS * f64::from(self.cfg.gateways);
@@ -895,10 +800,8 @@
             if time > most && !((quiet || learning) && avoid.is_none()) {
                 continue;
             }
-            let fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp();
             let cross = if s.zone == self.cfg.zone { 1.0 } else { 1.05 };
-            let cost = (time * cross + (fail - self.fleet.fail).max(0.0) * aim)
-                * (1.0 + 0.1 * self.rng.random::<f64>());
+            let cost = (time * cross + view.failing(s) * aim) * (1.0 + 0.1 * self.rng.random::<f64>());
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, number));
             }
@@ -910,20 +813,12 @@
         best.and_then(|(_, number)| self.servers.at(number)).map(|s| s.name.clone())
     }
 
-    /// What this gateway has out at all servers on average over time: over longer the fewer it sees.
-    fn mean_out(&self) -> f64 {
-        let times = (f64::from(self.cfg.gateways) / 10.0).clamp(1.0, FLEET_TIMES);
-        let kept = (-(self.now - self.fleet.usual_at) / (times * DEMAND_MS)).exp();
-        self.fleet.usual * kept + self.fleet.in_flight as f64 * (1.0 - kept)
-    }
-
     fn send(&mut self, id: u64, server: Name) {
         let Some(s) = self.servers.get(&server) else { return };
-        let means = self.means();
-        let load = self.load(s, means);
-        let class = self.held.get(id).map_or(0, |h| h.job.request.class);
-        let expected = self.foreseen(s, class, means);
-        (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
+        let (view, class) = (self.view(), self.held.get(id).map_or(0, |h| h.job.request.class));
+        let (means, usual) = (view.means(), view.mean_out());
+        let (load, expected) = (view.load(s, means), view.foreseen(s, class, means));
+        (self.fleet.usual, self.fleet.usual_at) = (usual, self.now);
         self.fleet.in_flight += 1;
         let (Some(s), Some(h)) = (self.servers.get_mut(&server), self.held.get_mut(id)) else { return };
         s.average(self.now);
@@ -951,9 +846,9 @@
     }
 
     fn on_outcome(&mut self, o: &Outcome) {
-        (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
-        let guess = self.servers.get(&o.server).map_or(0.0, |s| self.pace(s));
-        let warmth = self.servers.get(&o.server).map_or(1.0, |s| self.warmth(s));
+        (self.fleet.usual, self.fleet.usual_at) = (self.view().mean_out(), self.now);
+        let (view, server) = (self.view(), self.servers.get(&o.server));
+        let (pace, warmth) = server.map_or((0.0, 1.0), |s| (view.pace(s), view.warmth(s)));
         let many = self.many();
         let Some(h) = self.held.get_mut(o.id) else { return };
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
@@ -977,38 +872,12 @@
             // How busy cores were a while back says less than the count of one that sends a good part of
             // it all.
             let report = o.report.map(|r| Report { busy: r.busy.filter(|_| many), ..r });
-            if let Some(others) = report.and_then(|r| others(r, s.out.len() as f64)) {
-                s.reported = Some((self.now, others));
-                let so_far = self.fleet.reported.map_or(others, |(_, mean)| mean);
-                self.fleet.reported = Some((self.now, so_far + LEARN_REPORT * (others - so_far)));
-            }
-            let failed = !matches!(o.ending, Ending::Ok | Ending::Cancelled | Ending::Moot);
-            let fail = f64::from(u8::from(failed));
-            s.fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp() * (1.0 - LEARN) + LEARN * 2.0 * fail;
-            s.fail_at = self.now;
-            self.fleet.fail += LEARN_ALL * (fail - self.fleet.fail);
-            if o.ending == Ending::Ok {
-                s.rested_at = self.now;
-            }
-            if matches!(o.ending, Ending::Ok | Ending::Timeout) {
-                let pace = o.latency.max(0.1) / slowdown(load);
-                self.fleet.took += LEARN * (o.latency - self.fleet.took);
-                self.fleet.answers += 1.0;
-                let learn_all = LEARN_ALL.max(1.0 / self.fleet.answers);
-                let fleet = self.fleet.pace.unwrap_or(pace);
-                let c = &mut self.fleet.class_pace[class];
-                let weight = if *c > 0.0 { *c / fleet } else { 1.0 };
-                *c = if *c > 0.0 { toward(*c, pace, learn_all) } else { pace };
-                let own = if guess > 0.0 { guess } else { pace };
-                let slow = own * weight > self.room * self.cfg.classes[class].aim;
-                s.pace = Some(toward(own, pace / weight, if slow { LEARN_SLOW } else { LEARN }));
-                s.paced_at = self.now;
-                if warmth >= 1.0 {
-                    let kind = self.fleet.kind_pace.entry(s.kind).or_insert(fleet);
-                    *kind = toward(*kind, pace / weight, learn_all);
-                }
-                self.fleet.pace = Some(toward(fleet, pace, learn_all));
+            if let Some(report) = report {
+                self.fleet.told(s, self.now, report);
             }
+            let roomy = self.room * self.cfg.classes[class].aim;
+            let (now, ending, latency) = (self.now, o.ending, o.latency);
+            self.fleet.learn(s, &Seen { now, ending, latency, class, load, pace, warmth, roomy });
         }
         self.tell(key, keeper, plan, o.units.map_or(0.0, |all| all - units), None);
         let Some(h) = self.held.get(o.id) else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 mod ceiling;
 mod conf;
 mod control;
+mod estimate;
 mod hands;
 mod live;
 mod lots;
