--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -1,6 +1,9 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
 //! attempts and one queue of timers for all of them. It decides nothing: `frostvale::Control` does.
 
+mod outside;
+mod record;
+
 use crate::ask::Ask;
 use crate::config::Config;
 use crate::listing::{Listed, Target};
@@ -9,7 +12,7 @@
 use crate::usage::{Usage, What};
 use crate::workers::{self, Conn, Ear, Place, Refusal, Workers};
 use frostvale::*;
-use frostvale_outside::{Breaker, Consult, Counts, Step, Verdict};
+use frostvale_outside::{Breaker, Consult, Counts, Verdict};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -166,6 +169,8 @@
     scratch: Vec<u8>,
     /// How many answers could not be read since the last line on it in the log, and the last of them.
     spoilt: Option<(u32, String)>,
+    /// Words of notes to all that meant nothing here, as of the last sweep.
+    dropped: u64,
 }
 
 impl Gateway {
@@ -200,6 +205,7 @@
                 news: Rc::default(),
                 scratch: Vec::new(),
                 spoilt: None,
+                dropped: 0,
             })
         });
         gateway.borrow_mut().sweep();
@@ -312,96 +318,6 @@
         self.event(Event::Request(request));
     }
 
-    // ---- an outside service, asked before the module ----
-
-    /// Sets how an outside service is consulted, or that none is. Requests that wait for one go by the mode.
-    pub fn set_outside(&mut self, outside: Option<Consult>) {
-        self.unlinked();
-        self.outside = outside;
-    }
-
-    /// The agents' side of the link.
-    pub fn set_agents(&mut self, agents: Rc<dyn Agents>) {
-        self.agents = Some(agents);
-    }
-
-    fn consult(&mut self, request: Request) {
-        let (now, id) = (self.now(), request.id);
-        let (Some(outside), Some(agents)) = (&mut self.outside, self.agents.clone()) else { return };
-        let aim = self.settings.classes[request.class].aim;
-        let times = (aim, request.give_up - now);
-        let before = outside.breaker();
-        let step =
-            outside.ask(now, id, &request.customer, request.plan, request.units, times, agents.linked());
-        let Step::Ask { call, within } = step else {
-            self.told_breaker(before);
-            if let Some(r) = self.requests.get_mut(&id) {
-                r.pending = Some(request);
-            }
-            return self.consulted(id, step);
-        };
-        let asked = agents.ask_outside(call, &request, within);
-        if let Some(r) = self.requests.get_mut(&id) {
-            r.pending = Some(request);
-        }
-        self.told_breaker(before);
-        if asked {
-            self.at(now + within, Due::Consult(call));
-        } else {
-            self.outside_verdict(call, Verdict::Failed);
-        }
-    }
-
-    /// What the outside service said to a call; late ones are void.
-    pub fn outside_verdict(&mut self, call: u64, verdict: Verdict) {
-        let now = self.now();
-        let Some(outside) = &mut self.outside else { return };
-        let before = outside.breaker();
-        let step = outside.verdict(now, call, verdict);
-        self.told_breaker(before);
-        if let Some((id, step)) = step {
-            self.consulted(id, step);
-        }
-    }
-
-    /// Nobody is left who would carry the outside service's answers.
-    pub fn unlinked(&mut self) {
-        let Some(outside) = &mut self.outside else { return };
-        for (id, step) in outside.unlinked() {
-            self.consulted(id, step);
-        }
-    }
-
-    /// A request goes on to the module or is refused, unless its client has left meanwhile.
-    fn consulted(&mut self, id: u64, step: Step) {
-        let Some(request) = self.requests.get_mut(&id).and_then(|r| r.pending.take()) else { return };
-        match step {
-            Step::Pass | Step::Ask { .. } => self.event(Event::Request(request)),
-            Step::Deny { pause } => self.refuse(id, pause),
-        }
-    }
-
-    fn told_breaker(&self, before: Breaker) {
-        let (Some(outside), Some(agents)) = (&self.outside, &self.agents) else { return };
-        let (now, counts) = (outside.breaker(), outside.counts());
-        if now != before {
-            agents.breaker(now, counts);
-            let word = match now {
-                Breaker::Closed => "answers again: requests of its plans ask it as before",
-                Breaker::Open => {
-                    "fails: requests of its plans go by their failure mode until it is tried again"
-                }
-                Breaker::HalfOpen => "is tried again by one request at a time",
-            };
-            tracing::info!("the outside rate limit service {word} ({} calls failed so far)", counts.failed);
-        }
-    }
-
-    /// The breaker's state and counts, where an outside service is consulted.
-    pub fn outside_state(&self) -> Option<(Breaker, Counts)> {
-        self.outside.as_ref().map(|o| (o.breaker(), o.counts()))
-    }
-
     // ---- checks ----
 
     /// Somebody asks for units. `request` is as the asker wrote it; its id and limit are set here.
@@ -422,68 +338,6 @@
         }
     }
 
-    // ---- use, plans and levels, for the record ----
-
-    /// Begins to count use.
-    pub fn count_use(&mut self, ahead: i64) {
-        let now = (self.now().max(0.0) as u64).saturating_add_signed(ahead);
-        self.usage = Some(Usage::new(now));
-    }
-
-    /// The use of this life, where it is counted.
-    pub fn usage(&mut self) -> Option<&mut Usage> {
-        self.usage.as_mut()
-    }
-
-    /// Counts the units of a check that were granted, or not.
-    pub fn used(&mut self, request: &Request, granted: bool) {
-        let what = if granted { What::Passed } else { What::Refused };
-        if let Some(usage) = &mut self.usage {
-            usage.count(&request.customer, request.plan, request.class, request.units, what);
-        }
-    }
-
-    fn count(&mut self, id: u64, what: What) {
-        let (Some(usage), Some(r)) = (&mut self.usage, self.requests.get(&id)) else { return };
-        usage.count(&r.ask.customer, r.ask.plan, r.ask.class, r.ask.units, what);
-    }
-
-    /// A command has come whole to a worker.
-    fn passed(&mut self, id: u64) {
-        if self.usage.is_none() {
-            return;
-        }
-        if let Some(r) = self.requests.get_mut(&id)
-            && !std::mem::replace(&mut r.passed, true)
-        {
-            self.count(id, What::Passed);
-        }
-    }
-
-    /// The plans' figures have changed. An error says why they are not taken.
-    pub fn set_plans(&mut self, plans: Vec<Plan>) -> Result<(), String> {
-        let fresh = Settings { plans: plans.clone(), ..self.settings.clone() };
-        fresh.check().map_err(|e| e.to_string())?;
-        self.settings = fresh;
-        self.event(Event::Plans(plans));
-        Ok(())
-    }
-
-    /// What stores held in a former life.
-    pub fn restore(&mut self, levels: Vec<Level>) {
-        self.event(Event::Restore(levels));
-    }
-
-    /// What stores hold, some parts of the customers at a time.
-    pub fn levels(&self, part: usize, most: usize) -> (Vec<Level>, Option<usize>) {
-        self.control.levels(part, most)
-    }
-
-    /// What a granted check took was not used.
-    pub fn unused(&mut self, request: Request) {
-        self.event(Event::Unused(request));
-    }
-
     /// A client went away with this request open. Nothing more goes out for it.
     pub fn left(&mut self, id: u64) {
         let Some(r) = self.requests.get_mut(&id) else { return };
@@ -797,6 +651,12 @@
         if let Some((count, last)) = self.spoilt.take() {
             tracing::warn!("{count} answers could not be read, the last from {last}");
         }
+        let dropped = self.control.words_dropped();
+        if dropped > self.dropped {
+            let fresh = dropped - self.dropped;
+            tracing::debug!("{fresh} words of notes to all meant nothing here and were passed over");
+            self.dropped = dropped;
+        }
         self.at(now + (idle / 8.0).clamp(50.0, 2000.0), Due::Sweep);
     }
 
--- /dev/null
+++ b/src/bin/frostvale/gateway/outside.rs
@@ -0,0 +1,96 @@
+//! An outside rate limit service, asked before the module. What comes of it, `frostvale_outside::Consult` decides.
+
+use super::{Agents, Due, Gateway};
+use frostvale::{Event, Request};
+use frostvale_outside::{Breaker, Consult, Counts, Step, Verdict};
+use std::rc::Rc;
+
+impl Gateway {
+    /// Sets how an outside service is consulted, or that none is. Requests that wait for one go by the mode.
+    pub fn set_outside(&mut self, outside: Option<Consult>) {
+        self.unlinked();
+        self.outside = outside;
+    }
+
+    /// The agents' side of the link.
+    pub fn set_agents(&mut self, agents: Rc<dyn Agents>) {
+        self.agents = Some(agents);
+    }
+
+    pub(super) fn consult(&mut self, request: Request) {
+        let (now, id) = (self.now(), request.id);
+        let (Some(outside), Some(agents)) = (&mut self.outside, self.agents.clone()) else { return };
+        let aim = self.settings.classes[request.class].aim;
+        let times = (aim, request.give_up - now);
+        let before = outside.breaker();
+        let step =
+            outside.ask(now, id, &request.customer, request.plan, request.units, times, agents.linked());
+        let Step::Ask { call, within } = step else {
+            self.told_breaker(before);
+            if let Some(r) = self.requests.get_mut(&id) {
+                r.pending = Some(request);
+            }
+            return self.consulted(id, step);
+        };
+        let asked = agents.ask_outside(call, &request, within);
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.pending = Some(request);
+        }
+        self.told_breaker(before);
+        if asked {
+            self.at(now + within, Due::Consult(call));
+        } else {
+            self.outside_verdict(call, Verdict::Failed);
+        }
+    }
+
+    /// What the outside service said to a call; late ones are void.
+    pub fn outside_verdict(&mut self, call: u64, verdict: Verdict) {
+        let now = self.now();
+        let Some(outside) = &mut self.outside else { return };
+        let before = outside.breaker();
+        let step = outside.verdict(now, call, verdict);
+        self.told_breaker(before);
+        if let Some((id, step)) = step {
+            self.consulted(id, step);
+        }
+    }
+
+    /// Nobody is left who would carry the outside service's answers.
+    pub fn unlinked(&mut self) {
+        let Some(outside) = &mut self.outside else { return };
+        for (id, step) in outside.unlinked() {
+            self.consulted(id, step);
+        }
+    }
+
+    /// A request goes on to the module or is refused, unless its client has left meanwhile.
+    pub(super) fn consulted(&mut self, id: u64, step: Step) {
+        let Some(request) = self.requests.get_mut(&id).and_then(|r| r.pending.take()) else { return };
+        match step {
+            Step::Pass | Step::Ask { .. } => self.event(Event::Request(request)),
+            Step::Deny { pause } => self.refuse(id, pause),
+        }
+    }
+
+    pub(super) fn told_breaker(&self, before: Breaker) {
+        let (Some(outside), Some(agents)) = (&self.outside, &self.agents) else { return };
+        let (now, counts) = (outside.breaker(), outside.counts());
+        if now != before {
+            agents.breaker(now, counts);
+            let word = match now {
+                Breaker::Closed => "answers again: requests of its plans ask it as before",
+                Breaker::Open => {
+                    "fails: requests of its plans go by their failure mode until it is tried again"
+                }
+                Breaker::HalfOpen => "is tried again by one request at a time",
+            };
+            tracing::info!("the outside rate limit service {word} ({} calls failed so far)", counts.failed);
+        }
+    }
+
+    /// The breaker's state and counts, where an outside service is consulted.
+    pub fn outside_state(&self) -> Option<(Breaker, Counts)> {
+        self.outside.as_ref().map(|o| (o.breaker(), o.counts()))
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -84,6 +84,8 @@
 const BEARS: f64 = 0.4;
 /// How long a server without room rests, for each gateway, before one request looks again.
 const PEEK_MS: f64 = 250.0;
+/// Timers: of rumours, of notes, and from the next on of questions that wait.
+const RUMOR: u64 = 0;
 const TICK: u64 = 1;
 
 /// The decisions of one gateway.
@@ -189,6 +191,7 @@
             Event::Outcome(outcome) => self.on_outcome(&outcome),
             Event::Left { id } => self.on_left(id),
             Event::Note { from, text } => self.on_note(from, &text),
+            Event::Timer { token: RUMOR } => {}
             Event::Timer { token: TICK } => self.post.tick_at = None,
             Event::Timer { token } => self.on_waited(token.saturating_sub(TICK)),
             Event::Probed { .. } => {}
@@ -237,6 +240,12 @@
         self.servers.retain(|s| s.health != Health::Gone || !s.out.is_empty());
     }
 
+    /// Words of notes to all that could not be read or named no listed server, so far. They change nothing.
+    #[must_use]
+    pub fn words_dropped(&self) -> u64 {
+        self.rumors.dropped
+    }
+
     // ---- a request: bucket, ceiling, throttle, server ----
 
     fn on_request(&mut self, request: Request, check: bool) {
@@ -973,6 +982,9 @@
         if let Some(text) = self.rumors.due(self.now) {
             self.actions.push(Action::TellAll { text });
         }
+        if let Some(after) = self.rumors.wake(self.now) {
+            self.actions.push(Action::SetTimer { token: RUMOR, after });
+        }
         let rate = INTAKE_PART * self.cfg.note_intake.max(1.0);
         while let Some((to, text)) = self.post.next(self.now, rate) {
             self.actions.push(Action::Tell { to, text });
--- a/src/rumors.rs
+++ b/src/rumors.rs
@@ -68,6 +68,8 @@
     known: BTreeMap<u32, Talk>,
     news: BTreeSet<u32>,
     due: f64,
+    /// When the host wakes us.
+    woken_at: f64,
     /// Attempts that are out: until when each may be, in microseconds, and its server; and the same in order of time.
     out: BTreeMap<u64, (u64, Name)>,
     by_time: BTreeSet<(u64, u64)>,
@@ -101,6 +103,7 @@
             known: BTreeMap::new(),
             news: BTreeSet::new(),
             due: f64::INFINITY,
+            woken_at: f64::NEG_INFINITY,
             out: BTreeMap::new(),
             by_time: BTreeSet::new(),
             usual: 0.0,
@@ -238,6 +241,19 @@
         Some(format!("{MARK}{}", ids.join(",")))
     }
 
+    /// In how many ms the host should wake us for what is due or overdue next, unless it does so soon enough: a gateway
+    /// that sees little must not keep its news until its next request.
+    pub fn wake(&mut self, now: f64) -> Option<f64> {
+        let overdue = self.by_time.first().map_or(f64::INFINITY, |(until, _)| *until as f64 / 1000.0);
+        let next = self.due.min(overdue);
+        let pending = if self.woken_at > now { self.woken_at } else { f64::INFINITY };
+        (next + 1.0 < pending).then(|| {
+            let after = (next - now).max(1.0);
+            self.woken_at = now + after;
+            after
+        })
+    }
+
     /// How ill a server is spoken of: 0 not at all, 1 for each fresh voice.
     pub fn of(&self, now: f64, name: &str) -> f64 {
         if self.rate <= 0.0 {
@@ -362,6 +378,18 @@
         assert!(r.of(900.0, "s3") > 0.5);
     }
 
+    #[test]
+    fn news_and_attempts_that_hang_wake_a_gateway_that_sees_nothing_else() {
+        let mut r = tier(100, 60).remove(0);
+        assert_eq!(r.wake(0.0), None, "nothing to wake for");
+        r.sent(0.0, 1, &"s3".into(), 100.0);
+        assert_eq!(r.wake(0.0), Some(500.0));
+        assert_eq!(r.wake(1.0), None, "asked for already");
+        assert_eq!(r.due(500.0), None);
+        let lot = r.wake(500.0).expect("the moment drawn by lot");
+        assert!(lot <= LOT_MS + 1.0 && r.due(500.0 + lot).is_some() && r.wake(500.0 + lot).is_none());
+    }
+
     #[test]
     fn where_all_are_ill_spoken_of_none_is_left_for_it() {
         let mut r = tier(100, 10).remove(0);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1015,3 +1015,70 @@
     }
     assert!(passed >= 0.8 * 200.0, "and the ceiling is used: {passed}");
 }
+
+/// Gateways of a large tier with so many servers each, all warm or all just started.
+fn large(gateways: u32, servers: u32, cold: bool) -> Vec<Control> {
+    let one = |me| {
+        let mut g = Control::new(Settings { gateways, me, ..settings() }, u64::from(me) + 1).expect("sound");
+        let since = if cold { 1000.0 } else { 0.0 };
+        let servers = (0..servers).map(|k| Server { since, ..line(&format!("s{k}"), 0) }).collect();
+        g.handle(1000.0, Event::Servers { listing: Listing::Complete, servers });
+        g
+    };
+    (0..gateways).map(one).collect()
+}
+
+/// A request of a shop that comes through this gateway alone.
+fn alone(me: u32, id: u64, now: f64) -> Event {
+    let Event::Request(r) = ask(id, 0, 0, now) else { unreachable!("a request") };
+    Event::Request(Request { first: me, spread: 1, ..r })
+}
+
+/// The first answer of a new life takes long. Gone by, it would make all servers look too slow for anything.
+#[test]
+fn a_slow_first_answer_does_not_shut_a_new_gateway() {
+    let mut g = large(100, 60, false).remove(7);
+    let first = sent(&g.handle(1000.0, alone(7, 1, 1000.0))).expect("sent");
+    g.handle(1700.0, end(1, &first, Ending::Ok, 700.0));
+    for id in 2..10 {
+        let now = 1700.0 + 100.0 * id as f64;
+        let server = sent(&g.handle(now, alone(7, id, now))).expect("sent on, or nothing more is learned");
+        g.handle(now + 20.0, end(id, &server, Ending::Ok, 20.0));
+    }
+}
+
+/// A gateway of five requests a second before sixty servers, one of a hundred such.
+#[test]
+fn one_of_many_keeps_to_servers_that_it_has_a_connection_with() {
+    let mut g = large(100, 60, false).remove(7);
+    let (mut known, mut fresh) = (BTreeMap::new(), 0);
+    for id in 0..300u64 {
+        let now = 1000.0 + 200.0 * id as f64;
+        let server = sent(&g.handle(now, alone(7, id, now))).expect("sent");
+        let rested = known.insert(server.clone(), now);
+        fresh += u32::from(rested.is_none_or(|at| now - at > 10_000.0));
+        g.handle(now + 40.0, end(id, &server, Ending::Ok, 40.0));
+    }
+    // Chosen at random, each server would be met once in twelve seconds, longer than a connection is kept.
+    assert!((10..=130).contains(&fresh), "{fresh} new connections for 300 requests");
+}
+
+/// All there is has just started, and every gateway hears of it in the same instant.
+#[test]
+fn many_gateways_before_a_fleet_that_is_all_cold_neither_rush_nor_stay_away() {
+    let mut tier = large(200, 10, true);
+    let mut to: BTreeMap<String, u32> = BTreeMap::new();
+    // A second of 1,000 requests; each server answers one at a time in 50 ms when warm, in 250 ms now.
+    for k in 0..1000u64 {
+        let (me, now) = ((k * 7 % 200) as u32, 1000.0 + k as f64);
+        let g = &mut tier[me as usize];
+        if let Some(server) = sent(&g.handle(now, alone(me, k, now))) {
+            *to.entry(server.clone()).or_insert(0) += 1;
+            g.handle(now + 50.0, end(k, &server, Ending::Ok, 250.0));
+        }
+    }
+    let (least, most) = (to.values().min().copied().unwrap_or(0), to.values().max().copied().unwrap_or(0));
+    assert!(to.len() == 10 && least >= 1, "{to:?}");
+    // Half of the gateways at once would be a hundred to one server.
+    assert!(most <= 40, "{to:?}");
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -988,3 +988,35 @@
     stranger.set_nonblocking(true).expect("a socket");
     assert!(stranger.recv_from(&mut bytes).is_err(), "a stranger is not");
 }
+
+/// One of twenty gatekeepers can't reach a worker. It says so to the address that reaches all, in one datagram, and hears
+/// what others say at its own; nothing else has to happen for that.
+#[test]
+fn a_worker_that_fails_is_told_of_to_all_at_once() {
+    let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let discovery = Discovery::with(list(1, true, &[target("s-1", gone, "ready", 0)]));
+    let (peer, all) = (UdpSocket::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
+    let (peer, all) = (peer.expect("a port"), all.expect("a port"));
+    let own = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+    for to_all in [format!(r#""peers_all":"{}","#, all.local_addr().expect("bound")), String::new()] {
+        let config = format!(
+            r#"{{"listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{own}",{to_all}"peers":["{own}","{}"],
+            "settings":{{"Balancers":20,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"Peers":true,"TryLimit":3}},
+            "Classes":[{{"Name":"read","Target":8000.0,"Effect":"repeatable","Worth":1.0}}],
+            "Domain":{{"Largest":4,"PeerIntake":60.0}},
+            "Plans":[{{"Name":"p","UnitsPerS":10.0,"PeakUnits":10.0,"ValueFactor":1.0}}]}}}}"#,
+            discovery.at,
+            peer.local_addr().expect("bound"),
+        );
+        let node = start(&config, "exec");
+        let mut client = node.client();
+        client.say(ask(5000));
+        assert_eq!(client.answer(), "-BUSY");
+        let at = if to_all.is_empty() { &peer } else { &all };
+        at.set_read_timeout(Some(LONG)).expect("a socket");
+        let mut bytes = [0; 512];
+        let (len, from) = at.recv_from(&mut bytes).expect("it is told");
+        assert!(from == own && bytes.starts_with(b"!"), "{}", String::from_utf8_lossy(&bytes[..len]));
+        assert_eq!(len, 9, "the mark and one short name");
+    }
+}
