Tests that fail without their mends: turns in a cold fleet, busy cores, enough said

Seen: with the mend taken out, three tests passed: a cold fleet before any pace was known, one order of draws at busy cores, and rumours that others had said.

--- a/src/rumors.rs
+++ b/src/rumors.rs
@@ -323,6 +323,18 @@
         assert!(all.iter().all(|r| r.of(300.0, "s7") > 0.8 && r.of(300.0, "s8") <= 0.0));
     }
 
+    #[test]
+    fn what_enough_others_have_said_is_no_news() {
+        let mut r = tier(100, 60).remove(0);
+        r.hear(0.0, 1, &format!("{MARK}{:x}", short("s1")));
+        r.hear(0.0, 2, &format!("{MARK}{:x}", short("s1")));
+        r.ended(10.0, 9, "s1", Some(false));
+        assert_eq!(r.due(1000.0), None);
+        // Once that has faded it is.
+        r.ended(6000.0, 10, "s1", Some(false));
+        assert!(r.due(7000.0).is_some());
+    }
+
     #[test]
     fn a_rumour_fades_and_an_answer_halves_it() {
         let mut r = tier(100, 60).remove(0);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -588,24 +588,24 @@
     assert!(cold >= 10, "{cold} to the cold server in its first second");
 }
 
-/// Servers that tell only how busy their cores are, by a report in each answer.
+/// Servers that tell only how busy their cores are, by a report in each answer. Each of three in turn is the busy one.
 #[test]
 fn a_server_whose_cores_are_busy_is_left_to_others() {
-    let mut g = gateway(Settings { gateways: 40, ..settings() });
-    let mut to = BTreeMap::new();
-    for k in 0..200u64 {
-        let now = 100.0 * k as f64;
-        let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!("a request") };
-        let alone = Event::Request(Request { spread: 1, ..r });
-        let server = sent(&g.handle(now, alone)).expect("sent");
-        let busy = if server == "a" { 0.93 } else { 0.2 };
-        *to.entry(server.clone()).or_insert(0) += 1;
-        let Event::Outcome(o) = end(k, &server, Ending::Ok, 50.0) else { unreachable!("an outcome") };
-        let report = Some(Report { busy: Some(busy), ..Report::default() });
-        g.handle(now + 50.0, Event::Outcome(Outcome { report, ..o }));
+    let mut to_busy = 0;
+    for full in ["a", "b", "c"] {
+        let mut g = gateway(Settings { gateways: 40, ..settings() });
+        for k in 0..200u64 {
+            let now = 100.0 * k as f64;
+            let server = sent(&g.handle(now, alone(0, k, now))).expect("sent");
+            to_busy += u32::from(server == full);
+            let busy = if server == full { 0.93 } else { 0.2 };
+            let Event::Outcome(o) = end(k, &server, Ending::Ok, 50.0) else { unreachable!("an outcome") };
+            let report = Some(Report { busy: Some(busy), ..Report::default() });
+            g.handle(now + 50.0, Event::Outcome(Outcome { report, ..o }));
+        }
     }
-    // It is asked again now and then, as what it told grows old.
-    assert!(to["a"] <= 40 && to["b"] + to["c"] >= 160, "{to:?}");
+    // It is asked again now and then, as what it told grows old. A third would be 200.
+    assert!(to_busy <= 120, "{to_busy} of 600");
 }
 
 #[test]
@@ -1063,22 +1063,34 @@
     assert!((10..=130).contains(&fresh), "{fresh} new connections for 300 requests");
 }
 
-/// All there is has just started, and every gateway hears of it in the same instant.
+/// All there is is replaced at once, and every gateway hears of it in the same instant.
 #[test]
 fn many_gateways_before_a_fleet_that_is_all_cold_neither_rush_nor_stay_away() {
-    let mut tier = large(200, 10, true);
+    let mut tier = large(200, 10, false);
     let mut to: BTreeMap<String, u32> = BTreeMap::new();
-    // A second of 1,000 requests; each server answers one at a time in 50 ms when warm, in 250 ms now.
-    for k in 0..1000u64 {
-        let (me, now) = ((k * 7 % 200) as u32, 1000.0 + k as f64);
-        let g = &mut tier[me as usize];
-        if let Some(server) = sent(&g.handle(now, alone(me, k, now))) {
-            *to.entry(server.clone()).or_insert(0) += 1;
-            g.handle(now + 50.0, end(k, &server, Ending::Ok, 250.0));
+    // A second of 1,000 requests at warm servers, from which paces are known; then one at new ones, each of which answers
+    // one at a time, in 250 ms now.
+    for (second, took) in [(0, 50.0), (1, 250.0)] {
+        let begun = 1000.0 + 1000.0 * f64::from(second);
+        if second == 1 {
+            for g in &mut tier {
+                let new = |k: u32| Server { since: begun, ..line(&format!("new{k}"), 0) };
+                let servers = (0..10).map(new).collect();
+                g.handle(begun, Event::Servers { listing: Listing::Complete, servers });
+            }
+        }
+        to.clear();
+        for k in 0..1000u64 {
+            let (me, now) = ((k * 7 % 200) as u32, begun + k as f64);
+            let id = k + 1000 * u64::from(second as u32);
+            let g = &mut tier[me as usize];
+            if let Some(server) = sent(&g.handle(now, alone(me, id, now))) {
+                *to.entry(server.clone()).or_insert(0) += 1;
+                g.handle(now + took, end(id, &server, Ending::Ok, took));
+            }
         }
     }
     let (least, most) = (to.values().min().copied().unwrap_or(0), to.values().max().copied().unwrap_or(0));
     assert!(to.len() == 10 && least >= 1, "{to:?}");
-    // Half of the gateways at once would be a hundred to one server.
     assert!(most <= 40, "{to:?}");
 }
