--- a/src/ceiling.rs
+++ b/src/ceiling.rs
@@ -155,7 +155,7 @@
                 let kept = if way.sliced(&p) { 0.0 } else { way.kept(&p, 1.0).most };
                 let all = kept + set * way.slice(&p, set).most;
                 assert!(
-                    all <= 44.0 + 1e-9 && all >= 0.9 * 44.0,
+                    (0.9 * 44.0..=44.0 + 1e-9).contains(&all),
                     "{all} of 44 at {rate}, {open}, {notes}, {set}"
                 );
                 assert!(
