Simulate connection caps, handshakes and a slow discovery, and tell who did what at once

The simulation now has pools that rest, servers' caps and the time a handshake takes (crates/sim/src/conns.rs), a discovery that answers a part of the calls late, gatekeepers that start with an old list, work sent to each cold server against what pushes it over, the time until it is as before the first fault, and the largest herds: how many gatekeepers did the same to the same target within 100 ms (crates/sim/src/herds.rs).

--- a/crates/sim/src/expect.rs
+++ b/crates/sim/src/expect.rs
@@ -28,6 +28,20 @@
     if let Some(most) = expect.notes_most.filter(|most| r.notes > *most) {
         missed.push(format!("notes_most: {:.3} notes for a request, {most} expected", r.notes));
     }
+    if let Some(most) = expect.handshakes_most.filter(|most| r.handshakes > *most) {
+        missed
+            .push(format!("handshakes_most: {:.3} handshakes for a request, {most} expected", r.handshakes));
+    }
+    if let Some(most) = expect.turned_away_most.filter(|most| r.turned_away > *most) {
+        let were = r.turned_away;
+        missed.push(format!(
+            "turned_away_most: {were:.4} connections turned away for a request, {most} expected"
+        ));
+    }
+    if let Some(most) = expect.back_most_s.filter(|most| r.back_s.is_none_or(|s| s > *most)) {
+        let was = r.back_s.map_or("not within the run".into(), |s| format!("after {s} s"));
+        missed.push(format!("back_most_s: as before {was}, after {most} s expected"));
+    }
     if let Some(most) = expect.sick_most.filter(|most| r.sick > *most) {
         missed
             .push(format!("sick_most: {:.4} of the attempts went to sick servers, {most} expected", r.sick));
--- a/crates/sim/src/formula.rs
+++ b/crates/sim/src/formula.rs
@@ -62,6 +62,10 @@
     /// Work that came within the last second while it was cold: when, and how much.
     recent: VecDeque<(f64, f64)>,
     recent_work: f64,
+    /// What came within a second as a part of what pushes it over, with the last request and at the most; 0 while warm.
+    pub cold_load: f64,
+    /// See `cold_load`.
+    pub cold_most: f64,
     /// Attempts it was sent, and the ms its cores worked.
     pub attempts: u64,
     pub worked: f64,
@@ -101,6 +105,8 @@
             waiting: VecDeque::new(),
             recent: VecDeque::new(),
             recent_work: 0.0,
+            cold_load: 0.0,
+            cold_most: 0.0,
             attempts: 0,
             worked: 0.0,
         }
@@ -132,6 +138,7 @@
     pub fn take(&mut self, job: Job, again: bool, now: f64, cold: &Cold) -> (Taken, bool) {
         self.attempts += 1;
         let warmth = self.warmth(now, cold);
+        self.cold_load = 0.0;
         if warmth < 1.0 {
             // What was sent counts, whatever comes of it.
             self.recent.push_back((now, job.work));
@@ -140,6 +147,10 @@
                 self.recent_work -= self.recent.pop_front().map_or(0.0, |(_, work)| work);
             }
             let can = 1000.0 * f64::from(self.cores) * self.speed * warmth;
+            if self.recent.len() > 1 {
+                self.cold_load = (self.recent_work - job.work) / (cold.times * can);
+                self.cold_most = self.cold_most.max(self.cold_load);
+            }
             // One request that is already more than that by itself is nobody's fault.
             if self.recent.len() > 1 && self.recent_work - job.work > cold.times * can {
                 self.fallen = true;
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -18,8 +18,10 @@
 //! ```
 
 pub mod bound;
+mod conns;
 mod expect;
 mod formula;
+pub mod herds;
 mod oracle;
 pub mod page;
 mod queue;
@@ -29,6 +31,7 @@
 mod tally;
 mod world;
 
+pub use herds::{Act, Herd};
 pub use oracle::{Broken, Final};
 pub use scenario::Scenario;
 pub use tally::{Percentiles, PlanSums, Report, Second, ServerSums};
--- a/crates/sim/src/page.rs
+++ b/crates/sim/src/page.rs
@@ -1,5 +1,6 @@
 //! Reports on runs: text for a terminal, and one HTML page with plots.
 
+use crate::herds::Act;
 use crate::tally::{Report, Second};
 use frostvale_charts::{self as charts, AMBER, BLUE, GREEN, PURPLE, RED};
 use std::fmt::Write;
@@ -60,6 +61,28 @@
         r.ms.p50,
         r.ms.max
     );
+    let cold = r.servers.iter().map(|s| s.cold_load).fold(0.0, f64::max);
+    let _ = writeln!(
+        out,
+        "for a request: {:.3} handshakes, {:.4} connections turned away, {:.4} lists; a cold server was sent {:.2} of what \
+         pushes it over at the most{}",
+        r.handshakes,
+        r.turned_away,
+        r.lists,
+        cold,
+        r.back_s.map_or(String::new(), |s| format!("; as before the first fault after {s} s"))
+    );
+    for h in &r.herds {
+        let _ = writeln!(
+            out,
+            "at once: {} gatekeepers {} {} ({} times) in the 100 ms from {:.1} s",
+            h.gatekeepers,
+            h.act.name(),
+            if h.act == Act::List { String::new() } else { h.target.to_string() },
+            h.times,
+            h.at_ms as f64 / 1000.0
+        );
+    }
     for m in &r.missed {
         let _ = writeln!(out, "missed: {m}");
     }
@@ -121,6 +144,20 @@
             ("attempts", PURPLE, of(&|s| part(s.attempts as f64, s.tries as f64))),
         ],
     )?;
+    svg += &charts::plot(
+        "the fleet: connections and lists",
+        ("seconds", "a second"),
+        &[
+            ("handshakes", BLUE, of(&|s| s.handshakes as f64)),
+            ("turned away", RED, of(&|s| s.turned_away as f64)),
+            ("lists", AMBER, of(&|s| s.lists as f64)),
+        ],
+    )?;
+    svg += &charts::plot(
+        "the cold server that was sent most, as a part of what pushes it over",
+        ("seconds", "part"),
+        &[("sent", PURPLE, of(&|s| s.cold))],
+    )?;
     let mut busy: Vec<f64> = r.servers.iter().map(|s| s.busy).collect();
     busy.sort_by(|a, b| b.total_cmp(a));
     svg += &charts::plot(
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -99,6 +99,12 @@
     pub cold_times: f64,
     /// Its answers say how many requests it holds.
     pub report: bool,
+    /// Connections that it holds at the most; new ones past that are turned away. 0 for any number.
+    pub connections: u32,
+    /// A connection that has rested for so long is closed.
+    pub idle_ms: f64,
+    /// A new connection takes so long to come up.
+    pub handshake_ms: f64,
     /// Kinds of machine.
     #[serde(rename = "kind")]
     pub kinds: Vec<KindOf>,
@@ -116,6 +122,9 @@
             warm_s: 17.0,
             cold_times: 2.0,
             report: false,
+            connections: 0,
+            idle_ms: 20_000.0,
+            handshake_ms: 0.0,
             kinds: vec![kind("std-2", 0.54, 2, [0.85, 1.1]), kind("slow-3", 0.46, 3, [0.51, 0.69])],
         }
     }
@@ -273,11 +282,14 @@
     pub drain_s: f64,
     /// Nothing new may go to a draining server later than this after a gatekeeper was told.
     pub grace_ms: f64,
+    /// A gatekeeper starts with a list that is so many seconds old; without one it starts with none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub known_s: Option<f64>,
 }
 
 impl Default for Discovery {
     fn default() -> Self {
-        Discovery { lag_ms: [100.0, 2000.0], drain_s: 5.0, grace_ms: 250.0 }
+        Discovery { lag_ms: [100.0, 2000.0], drain_s: 5.0, grace_ms: 250.0, known_s: None }
     }
 }
 
@@ -299,6 +311,8 @@
     Relist,
     /// The list is silent; then it is told whole.
     DiscoverySilent,
+    /// Discovery answers this part of the calls, `times` ms late; then it tells the list whole.
+    DiscoverySlow,
     /// Gatekeepers fall into two halves that hear nothing of each other.
     Partition,
     /// This part of the notes is lost.
@@ -355,6 +369,15 @@
     pub second_least: Option<f64>,
     /// See `second_least`.
     pub after_s: f64,
+    /// Handshakes for a request at the most.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub handshakes_most: Option<f64>,
+    /// Connections that servers turned away, for a request, at the most.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub turned_away_most: Option<f64>,
+    /// So many seconds after the first fault it is as before it again, at the latest.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub back_most_s: Option<f64>,
     /// Servers of the parts that a fault hit take this part of all attempts at the most, while it lasts.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub sick_most: Option<f64>,
@@ -506,6 +529,9 @@
         within("servers.cold_from", s.cold_from, 0.01, 1.0)?;
         within("servers.warm_s", s.warm_s, 0.0, 600.0)?;
         within("servers.cold_times", s.cold_times, 1.0, 100.0)?;
+        within("servers.connections", s.connections.into(), 0.0, 1e6)?;
+        within("servers.idle_ms", s.idle_ms, 1.0, 600_000.0)?;
+        within("servers.handshake_ms", s.handshake_ms, 0.0, 10_000.0)?;
         if s.kinds.is_empty() || self.classes.is_empty() || self.plans.is_empty() {
             return Err("servers.kind, class and plan need one entry each at the least".into());
         }
@@ -553,6 +579,7 @@
         span("discovery.lag_ms", self.discovery.lag_ms, 0.0, 600_000.0)?;
         within("discovery.drain_s", self.discovery.drain_s, 0.0, 600.0)?;
         within("discovery.grace_ms", self.discovery.grace_ms, 0.0, 600_000.0)?;
+        within("discovery.known_s", self.discovery.known_s.unwrap_or(0.0), 0.0, SECONDS_MOST)?;
         for f in &self.faults {
             within("fault.at_s", f.at_s, 0.0, SECONDS_MOST)?;
             within("fault.for_s", f.for_s, 0.0, SECONDS_MOST)?;
--- a/crates/sim/src/tally.rs
+++ b/crates/sim/src/tally.rs
@@ -1,5 +1,6 @@
 //! What a run comes to: by plan, by second, by server.
 
+use crate::herds::Herd;
 use crate::oracle::Broken;
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
@@ -67,6 +68,18 @@
     pub notes: u64,
     /// Attempts sent to servers.
     pub attempts: u64,
+    /// Connections that came up.
+    #[serde(default)]
+    pub handshakes: u64,
+    /// Connections that servers turned away at their caps.
+    #[serde(default)]
+    pub turned_away: u64,
+    /// Whole lists asked for.
+    #[serde(default)]
+    pub lists: u64,
+    /// The most that was sent to a cold server within a second, as a part of what pushes it over.
+    #[serde(default)]
+    pub cold: f64,
 }
 
 /// A server at the end.
@@ -78,6 +91,9 @@
     pub busy: f64,
     /// Whether it fell over.
     pub fallen: bool,
+    /// The most that it was sent within a second while it was cold, as a part of what pushes it over.
+    #[serde(default)]
+    pub cold_load: f64,
 }
 
 /// What a run came to. The same scenario and seed give the same bytes.
@@ -107,6 +123,21 @@
     pub notes_peak: u64,
     /// Attempts for a request.
     pub attempts: f64,
+    /// Connections that came up, and those turned away at a server's cap, for a request.
+    #[serde(default)]
+    pub handshakes: f64,
+    /// See `handshakes`.
+    #[serde(default)]
+    pub turned_away: f64,
+    /// Whole lists asked for, for a request.
+    #[serde(default)]
+    pub lists: f64,
+    /// From the first fault on until three seconds on end are served as 95% of the seconds before it were, in seconds.
+    #[serde(default)]
+    pub back_s: Option<f64>,
+    /// Who did the same thing in the same 100 ms, the largest of each kind.
+    #[serde(default)]
+    pub herds: Vec<Herd>,
     /// The part of attempts that went to servers a fault had hit, while it lasted.
     pub sick: f64,
     /// Served answers' time, in ms.
@@ -267,6 +298,24 @@
         }
     }
 
+    /// A connection is opened, or turned away.
+    pub fn handshake(&mut self, at: f64, turned_away: bool) {
+        let second = self.second(at);
+        second.handshakes += u64::from(!turned_away);
+        second.turned_away += u64::from(turned_away);
+    }
+
+    /// A whole list is asked for.
+    pub fn list(&mut self, at: f64) {
+        self.second(at).lists += 1;
+    }
+
+    /// A cold server was sent this part of what pushes it over.
+    pub fn cold(&mut self, at: f64, load: f64) {
+        let second = self.second(at);
+        second.cold = second.cold.max(load);
+    }
+
     /// A note is on its way to a gatekeeper.
     pub fn note(&mut self, at: f64, to: u32, bytes: usize) {
         self.notes += 1;
@@ -295,6 +344,7 @@
         let worth = |value: fn(&PlanSums) -> f64| -> f64 {
             self.plans.iter().enumerate().map(|(k, p)| price(k) * value(p)).sum()
         };
+        let total = |value: &dyn Fn(&Second) -> u64| self.seconds.iter().map(value).sum::<u64>() as f64;
         let ms = |q: f64| self.times.value_at_quantile(q) as f64 / 1000.0;
         Report {
             scenario: scenario.name.clone(),
@@ -309,6 +359,11 @@
             notes_lost: part(self.notes_lost as f64, self.notes as f64),
             notes_peak: self.notes_peak,
             attempts: part(self.attempts as f64, tries as f64),
+            handshakes: part(total(&|s| s.handshakes), tries as f64),
+            turned_away: part(total(&|s| s.turned_away), tries as f64),
+            lists: part(total(&|s| s.lists), tries as f64),
+            back_s: back(scenario, &self.seconds),
+            herds: Vec::new(),
             sick: part(self.sick as f64, self.sick_of as f64),
             ms: Percentiles { p50: ms(0.5), p99: ms(0.99), max: self.times.max() as f64 / 1000.0 },
             events: self.events,
@@ -318,3 +373,42 @@
         }
     }
 }
+
+/// How long after the first fault it is as before it again: three seconds on end with 95% of what was served in time
+/// before. Not said where there is no fault, too little before it, or no way back within the run.
+fn back(scenario: &Scenario, seconds: &[Second]) -> Option<f64> {
+    let at = scenario.faults.iter().map(|f| f.at_s).reduce(f64::min)?;
+    let part = |some: &[Second]| {
+        let of = |value: fn(&Second) -> u64| some.iter().map(value).sum::<u64>() as f64;
+        (of(|s| s.inside) > 0.0).then(|| of(|s| s.inside_in_time) / of(|s| s.inside))
+    };
+    // The first second starts from nothing.
+    let before = part(seconds.get(1..at as usize)?)?;
+    let whole = seconds.get(..(scenario.seconds as usize).min(seconds.len()))?;
+    // The worst of it comes first: a way back begins after a second below.
+    let fall = (at as usize..whole.len()).find(|k| part(&whole[*k..=*k]).is_some_and(|p| p < 0.95 * before));
+    let Some(fall) = fall else { return Some(0.0) };
+    let well = |k: usize| whole.get(k..k + 3).and_then(part).is_some_and(|p| p >= 0.95 * before);
+    (fall + 1..whole.len()).find(|k| well(*k)).map(|k| k as f64 - at)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::{Fault, Kind};
+
+    #[test]
+    fn the_way_back_is_counted_from_the_first_fault() {
+        let mut day = Scenario { seconds: 12.0, ..Scenario::default() };
+        let second = |inside_in_time| Second { inside: 100, inside_in_time, ..Second::default() };
+        let mut seconds: Vec<Second> = [10, 90, 90, 90, 20, 40, 90, 50, 85, 88, 90, 90].map(second).to_vec();
+        assert_eq!(back(&day, &seconds), None, "nothing went wrong");
+        let fault = |at_s| Fault { kind: Kind::KillAny, at_s, for_s: 1.0, part: 1.0, times: 1.0, count: 1 };
+        day.faults.push(fault(4.0));
+        assert_eq!(back(&day, &seconds), Some(4.0));
+        seconds[9] = second(60);
+        assert_eq!(back(&day, &seconds), None, "never three on end");
+        day.faults.push(fault(0.0));
+        assert_eq!(back(&day, &seconds), None, "nothing is known of before");
+    }
+}
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -2,7 +2,9 @@
 //! clients, all in one order of events by virtual time. Nothing here reads a clock; every random number comes from the
 //! run's seed.
 
+use crate::conns::{Conns, Way};
 use crate::formula::{Cold, ERROR_MS, Formula, Job, Sick, Taken};
+use crate::herds::{Act, Herds};
 use crate::oracle::{Final, Oracle, Trace};
 use crate::queue::Queue;
 use crate::scenario::{Kind, Scenario};
@@ -24,6 +26,8 @@
 const MARGIN_MS: f64 = 6.0;
 /// A killed gatekeeper is back after this time.
 const DOWN_MS: f64 = 1000.0;
+/// A gatekeeper whose call to discovery failed calls again after this time, from and to.
+const LIST_AGAIN_MS: [f64; 2] = [100.0, 1000.0];
 /// After the last request, the run goes on for so long at the most.
 const TAIL_MS: f64 = 60_000.0;
 /// A server that is gone has this long for what it has in hand.
@@ -52,6 +56,9 @@
     Ok(Box::new(Control::new(settings, seed).map_err(|e| e.to_string())?))
 }
 
+/// Servers as the list tells of them.
+type Lines = Rc<Vec<(u32, Server)>>;
+
 /// What happens.
 enum Ev {
     /// The next request of any client.
@@ -97,7 +104,7 @@
         gatekeeper: u32,
         life: u32,
         listing: Listing,
-        lines: Rc<Vec<(u32, Server)>>,
+        lines: Lines,
     },
     Fault {
         which: usize,
@@ -105,6 +112,11 @@
     },
     FaultEnd(usize),
     Start(u32),
+    /// A gatekeeper that has no list asks for it again.
+    Ask {
+        gatekeeper: u32,
+        life: u32,
+    },
     Gone(u32),
 }
 
@@ -128,6 +140,8 @@
     server: u32,
     at: f64,
     whole: bool,
+    /// The server's life to which it holds a connection.
+    connected: Option<u32>,
 }
 
 /// One try of a client at one gatekeeper.
@@ -157,6 +171,10 @@
     queue: Queue<Ev>,
     rng: Pcg64Mcg,
     shops: Shops,
+    conns: Conns,
+    herds: Herds,
+    /// The list as it was, for those that start with an old one.
+    history: Vec<(f64, Lines)>,
     gatekeepers: Vec<Gatekeeper>,
     servers: Vec<Formula>,
     by_name: FxHashMap<Name, u32>,
@@ -170,6 +188,9 @@
     surge: f64,
     split: bool,
     list_silent: u32,
+    /// Discovery answers this part of the calls, and so many ms late.
+    list_part: f64,
+    list_late: f64,
     note_loss: f64,
     note_delay: f64,
     note_double: f64,
@@ -211,6 +232,9 @@
             oracle: Oracle::new(scenario, shops.count()),
             tally: Tally::new(scenario, shops.count())?,
             shops,
+            conns: Conns::new(s.connections, s.idle_ms),
+            herds: Herds::default(),
+            history: Vec::new(),
             gatekeepers: Vec::new(),
             servers: Vec::new(),
             by_name: FxHashMap::default(),
@@ -221,6 +245,8 @@
             surge: 1.0,
             split: false,
             list_silent: 0,
+            list_part: 1.0,
+            list_late: 0.0,
             note_loss: scenario.network.note_loss,
             note_delay: 0.0,
             note_double: 0.0,
@@ -232,6 +258,7 @@
         for _ in 0..s.count {
             world.add_server(0.0);
         }
+        world.remember();
         for k in 0..scenario.gatekeepers.count {
             world.gatekeepers.push(Gatekeeper {
                 mind: None,
@@ -326,21 +353,56 @@
         let seed = self.rng.next_u64();
         self.gatekeepers[k as usize].mind = Some((self.make)(settings, seed)?);
         self.oracle.started(k);
-        if self.list_silent == 0 {
-            self.tell_all(k, 0.0);
+        if let Some(old) = s.discovery.known_s {
+            let then = self.now - 1000.0 * old;
+            let known = self.history.iter().rev().find(|(at, _)| *at <= then).or(self.history.first());
+            if let Some(lines) = known.map(|(_, lines)| lines.clone()) {
+                self.tell_list(k, 0.0, Listing::Complete, lines);
+            }
         }
+        self.ask_list(k);
         Ok(())
     }
 
-    /// Tells a gatekeeper the whole list.
-    fn tell_all(&mut self, k: u32, lag: f64) {
+    /// A gatekeeper asks for the whole list, as at its start; again in a while where it gets none.
+    fn ask_list(&mut self, k: u32) {
+        self.tally.list(self.now);
+        self.herds.seen(self.now, Act::List, k, 0);
+        if self.list_silent == 0 && self.list_answers() {
+            return self.tell_all(k, self.list_late);
+        }
+        // What is silent tells all of them by itself at its end.
+        if self.list_silent == 0 {
+            let pause = self.between(LIST_AGAIN_MS);
+            let life = self.gatekeepers[k as usize].life;
+            self.queue.put(self.now + pause, Ev::Ask { gatekeeper: k, life });
+        }
+    }
+
+    fn list_answers(&mut self) -> bool {
+        self.list_part >= 1.0 || self.rng.random::<f64>() < self.list_part
+    }
+
+    /// Keeps the list as it is now.
+    fn remember(&mut self) {
+        if self.scenario.discovery.known_s.is_some() {
+            self.history.push((self.now, self.whole_list()));
+        }
+    }
+
+    fn whole_list(&self) -> Lines {
         let count = self.servers.len() as u32;
         let lines = (0..count).filter(|n| self.health[*n as usize] != Health::Gone).map(|n| self.line(n));
-        let lines = Rc::new(lines.collect());
+        Rc::new(lines.collect())
+    }
+
+    /// Tells a gatekeeper the whole list.
+    fn tell_all(&mut self, k: u32, lag: f64) {
+        let lines = self.whole_list();
         self.tell_list(k, lag, Listing::Complete, lines);
     }
 
-    fn tell_list(&mut self, k: u32, lag: f64, listing: Listing, lines: Rc<Vec<(u32, Server)>>) {
+    fn tell_list(&mut self, k: u32, lag: f64, listing: Listing, lines: Lines) {
         let g = &mut self.gatekeepers[k as usize];
         g.listed = g.listed.max(self.now + lag);
         self.queue.put(g.listed, Ev::List { gatekeeper: k, life: g.life, listing, lines });
@@ -348,13 +410,17 @@
 
     /// The entries of these servers have changed.
     fn list_changes(&mut self, servers: &[u32]) {
+        self.remember();
         if self.list_silent > 0 || servers.is_empty() {
             return;
         }
         let lines = Rc::new(servers.iter().map(|n| self.line(*n)).collect::<Vec<_>>());
         for k in 0..self.gatekeepers.len() as u32 {
-            let lag = self.between(self.scenario.discovery.lag_ms);
-            self.tell_list(k, lag, Listing::Changes, lines.clone());
+            let lag = self.between(self.scenario.discovery.lag_ms) + self.list_late;
+            // Who gets no answer now is told the whole list when discovery is well again.
+            if self.list_answers() {
+                self.tell_list(k, lag, Listing::Changes, lines.clone());
+            }
         }
     }
 
@@ -366,6 +432,7 @@
         g.life += 1;
         g.listed = self.now;
         self.trace(k, "is killed", 0, None);
+        self.conns.gatekeeper_ended(k);
         let mut had: Vec<u64> =
             self.tries.iter().filter(|(_, t)| t.gatekeeper == k).map(|(id, _)| *id).collect();
         had.sort_unstable();
@@ -425,7 +492,8 @@
         let Some(t) = self.tries.get_mut(&id) else { return };
         let attempt = t.attempts;
         t.attempts += 1;
-        t.out = Some(Out { attempt, server: number, at: now, whole: false });
+        t.out = Some(Out { attempt, server: number, at: now, whole: false, connected: None });
+        self.herds.seen(now, Act::Attempt, k, number);
         self.tally.attempts += 1;
         self.tally.second(now).attempts += 1;
         if !self.sick.is_empty() {
@@ -436,7 +504,26 @@
             self.queue.put(now, Ev::Answer { id, attempt, ending: Ending::Moot, holds: None });
             return;
         }
-        self.queue.put(now + hop, Ev::Whole { id, attempt });
+        if !self.servers[number as usize].up() {
+            self.queue.put(now + hop, Ev::Whole { id, attempt });
+            self.queue.put(not_past, Ev::Deadline { id, attempt });
+            return;
+        }
+        let (way, life) = self.conns.take(now, k, number);
+        if way != Way::Kept {
+            self.herds.seen(now, Act::Handshake, k, number);
+            self.tally.handshake(now, way == Way::TurnedAway);
+        }
+        if way == Way::TurnedAway {
+            let back = self.hop();
+            self.queue.put(now + hop + back, Ev::Answer { id, attempt, ending: Ending::Full, holds: None });
+            return;
+        }
+        if let Some(out) = self.tries.get_mut(&id).and_then(|t| t.out.as_mut()) {
+            out.connected = Some(life);
+        }
+        let comes_up = if way == Way::New { self.scenario.servers.handshake_ms } else { 0.0 };
+        self.queue.put(now + comes_up + hop, Ev::Whole { id, attempt });
         self.queue.put(not_past, Ev::Deadline { id, attempt });
     }
 
@@ -450,6 +537,10 @@
         let Some(t) = self.tries.get_mut(&id) else { return };
         let Some(out) = t.out.take() else { return };
         let (k, answered) = (t.gatekeeper, t.answered);
+        if let Some(life) = out.connected {
+            let answered = matches!(ending, Ending::Ok | Ending::Error | Ending::Full);
+            self.conns.give(now, k, (out.server, life), answered);
+        }
         self.oracle.ended(id, ending);
         let outcome = Outcome {
             id,
@@ -488,6 +579,7 @@
 
     fn note(&mut self, from: u32, to: u32, text: &str) {
         self.tally.note(self.now, to, text.len());
+        self.herds.seen(self.now, Act::Note, from, to);
         let half = self.scenario.gatekeepers.count / 2;
         let cut = self.split && (from < half) != (to < half);
         if cut || self.rng.random::<f64>() < self.note_loss {
@@ -695,7 +787,10 @@
         let cold = self.cold;
         let s = &mut self.servers[server as usize];
         let (taken, over) = s.take(job, again, now, &cold);
-        let (life, holds) = (s.life, s.in_hand());
+        let (life, holds, cold_load) = (s.life, s.in_hand(), s.cold_load);
+        if cold_load > 0.0 {
+            self.tally.cold(now, cold_load);
+        }
         let holds = self.scenario.servers.report.then_some(holds);
         // An error may have run; so may what a silent one has.
         if !again && taken != Taken::Answered(Ending::Full, ERROR_MS) && !over {
@@ -735,6 +830,7 @@
     /// A server's life ends with all that it has in hand.
     fn lose(&mut self, server: u32) {
         let had = self.servers[server as usize].end();
+        self.conns.server_ended(server);
         for job in had {
             let hop = self.hop();
             let lost = Ev::Answer { id: job.id, attempt: job.attempt, ending: Ending::Reset, holds: None };
@@ -809,6 +905,7 @@
                 self.list_changes(&all);
             }
             Kind::DiscoverySilent => self.list_silent += 1,
+            Kind::DiscoverySlow => (self.list_part, self.list_late) = (fault.part, fault.times),
             Kind::Partition => self.split = true,
             Kind::NoteLoss => self.note_loss = fault.part,
             Kind::NoteDelay => self.note_delay = fault.times,
@@ -846,8 +943,12 @@
         }
         match kind {
             Kind::Crash => self.list_changes(&hit),
-            Kind::DiscoverySilent => {
-                self.list_silent -= 1;
+            Kind::DiscoverySilent | Kind::DiscoverySlow => {
+                if kind == Kind::DiscoverySilent {
+                    self.list_silent -= 1;
+                } else {
+                    (self.list_part, self.list_late) = (1.0, 0.0);
+                }
                 for k in 0..self.gatekeepers.len() as u32 {
                     let lag = self.between(self.scenario.discovery.lag_ms);
                     self.tell_all(k, lag);
@@ -894,6 +995,11 @@
             Ev::Fault { which, step } => self.fault(which, step),
             Ev::FaultEnd(which) => self.fault_end(which),
             Ev::Start(k) => self.start(k)?,
+            Ev::Ask { gatekeeper, life } => {
+                if self.gatekeepers[gatekeeper as usize].life == life {
+                    self.ask_list(gatekeeper);
+                }
+            }
             Ev::Gone(server) => {
                 if self.health[server as usize] == Health::Draining {
                     self.health[server as usize] = Health::Gone;
@@ -934,10 +1040,12 @@
             attempts: s.attempts,
             busy: s.worked / (time * f64::from(s.cores)),
             fallen: s.fallen,
+            cold_load: s.cold_most,
         });
         let servers = servers.collect();
         let mut report = self.tally.report(self.scenario, seed);
         report.servers = servers;
+        report.herds = self.herds.told();
         report.ceiling_used = self.oracle.ceiling_used;
         report.broken = self.oracle.broken.take();
         report.missed = crate::expect::missed(&self.scenario.expect, &report);
--- a/crates/sim/tests/days.rs
+++ b/crates/sim/tests/days.rs
@@ -64,7 +64,7 @@
     assert_ne!(of(5), of(6));
     let read: Report = serde_json::from_str(&of(5)).expect("a report");
     let html = page::html(&[read]).expect("drawn");
-    assert_eq!(html.matches("<svg").count(), 5);
+    assert_eq!(html.matches("<svg").count(), 7);
 }
 
 fn faults() -> impl Strategy<Value = Fault> {
@@ -76,6 +76,7 @@
         Kind::Replace,
         Kind::Relist,
         Kind::DiscoverySilent,
+        Kind::DiscoverySlow,
         Kind::Partition,
         Kind::NoteLoss,
         Kind::NoteDelay,
@@ -101,13 +102,15 @@
         faults in prop::collection::vec(faults(), 0..5),
         (gatekeepers, servers, shops) in (1u32..6, 1u32..20, 1u32..100),
         (rate, zipf, once, marked) in (10.0..400.0f64, 0.0..2.0f64, 0.0..0.5f64, any::<bool>()),
-        (report, seed) in (any::<bool>(), 0u64..1000),
+        (report, seed, caps, known) in (any::<bool>(), 0u64..1000, 0u32..12, any::<bool>()),
     ) {
         let mut scenario = Scenario { seconds: 10.0, faults, ..Scenario::default() };
         (scenario.gatekeepers.count, scenario.gatekeepers.spread) = (gatekeepers, [1, gatekeepers]);
         (scenario.servers.count, scenario.servers.report) = (servers, report);
         (scenario.load.shops, scenario.load.rate, scenario.load.zipf) = (shops, rate, zipf);
         (scenario.load.once, scenario.load.marked) = (once, marked);
+        scenario.servers.connections = if caps < 2 { 0 } else { caps };
+        scenario.discovery.known_s = known.then_some(3.0);
         let report = run(&scenario, seed, &real).expect("it runs");
         prop_assert!(report.broken.is_none(), "{}\n{}", scenario.write().expect("TOML"), page::text(&report));
     }
@@ -141,3 +144,63 @@
     }
     assert!(tightest > 0.3, "{tightest}: the statement says next to nothing");
 }
+
+fn short(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../scenarios/{name}.toml"));
+    Scenario::read(&path).expect("sound")
+}
+
+/// Servers that turn connections away at their cap are tried no more often for it, and lose nothing but these: what is
+/// turned away is a small part of what is sent, and as much is served as if there were no cap.
+#[test]
+fn connections_turned_away_set_off_no_storm() {
+    let scenario = short("many-caps");
+    let free = Scenario {
+        servers: frostvale_sim::scenario::Servers { connections: 0, ..scenario.servers.clone() },
+        ..scenario.clone()
+    };
+    for seed in 1..=3 {
+        let with = run(&scenario, seed, &real).expect("it runs");
+        let without = run(&free, seed, &real).expect("it runs");
+        let away: u64 = with.seconds.iter().map(|s| s.turned_away).sum();
+        assert!(away > 20, "{away} turned away: the caps did not bind");
+        assert!(without.seconds.iter().all(|s| s.turned_away == 0));
+        assert!(with.attempts < 1.1 * without.attempts, "{} for {}", with.attempts, without.attempts);
+        assert!(with.served > without.served - 0.06, "{} for {}", with.served, without.served);
+        assert!(with.turned_away < 0.06 * with.attempts, "{} of {}", with.turned_away, with.attempts);
+    }
+}
+
+/// Gatekeepers that start while discovery answers one call in ten ask again, spread out, until each has a list.
+#[test]
+fn discovery_that_answers_a_tenth_is_asked_again_and_not_all_at_once() {
+    let mut scenario = short("many-list-slow");
+    scenario.discovery.known_s = None;
+    for seed in 1..=3 {
+        let report = run(&scenario, seed, &real).expect("it runs");
+        assert!(report.broken.is_none(), "{}", page::text(&report));
+        let asked = |from: usize, to: usize| report.seconds[from..to].iter().map(|s| s.lists).sum::<u64>();
+        // 20 are killed at most; each asks once in 0.55 s until it has one, over the seven seconds that are left.
+        assert!((40..=20 * 14).contains(&asked(6, 15)), "{}", asked(6, 15));
+        assert_eq!(asked(16, 22), 0, "all have one");
+        let herd = report.herds.iter().filter(|h| h.act == frostvale_sim::Act::List && h.at_ms > 0);
+        assert!(herd.map(|h| h.gatekeepers).max().unwrap_or(0) <= 20);
+    }
+}
+
+/// Who starts with an old list serves at once by it, though discovery says nothing.
+#[test]
+fn an_old_list_serves_until_discovery_speaks() {
+    let with = short("many-herd");
+    let without = Scenario {
+        discovery: frostvale_sim::scenario::Discovery { known_s: None, ..with.discovery.clone() },
+        ..with.clone()
+    };
+    let silent = |scenario: &Scenario| {
+        let report = run(scenario, 1, &real).expect("it runs");
+        assert!(report.broken.is_none(), "{}", page::text(&report));
+        report.seconds[8..10].iter().map(|s| s.inside_in_time).sum::<u64>()
+    };
+    let (with, without) = (silent(&with), silent(&without));
+    assert!(with > 2 * without.max(1), "{with} served in time with an old list, {without} with none");
+}
