Fill ceilings from the start of a life, and hold no slices too small for a request

A share of a ceiling begins a life empty, as a former life may have spent it, but src/control.rs counted its filling from the customer's first request on and not from the life's start, so that each shop's first large request met an empty store. And the slices of the rest (30% of the ceiling over a set of eight or more) held 1.2 units at the most where a mix takes four: nothing could go out by them.

Shares now fill from the life's start, at most a minute's worth, and what a record restores is not filled again. Where a slice could not hold the largest request there are no slices and the keeper holds 92%; who asks says so, and a keeper that was asked by one with a slice deals as before.

Both new tests and the ceiling's own were seen to fail without.

Ruled out: another gatekeeper that stands in for a keeper which is away, after accusations told to all that the accused may refute.

--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -71,11 +71,13 @@
     pub note_intake: f64,
     /// The most attempts for a request; 0 means no limit.
     pub max_attempts: u32,
+    /// A killed one is back after so many seconds.
+    pub down_s: f64,
 }
 
 impl Default for Gatekeepers {
     fn default() -> Self {
-        Gatekeepers { count: 3, spread: [2, 3], notes: true, note_intake: 60.0, max_attempts: 3 }
+        Gatekeepers { count: 3, spread: [2, 3], notes: true, note_intake: 60.0, max_attempts: 3, down_s: 1.0 }
     }
 }
 
@@ -521,6 +523,7 @@
         span("gatekeepers.spread", g.spread.map(f64::from), 1.0, g.count.into())?;
         within("gatekeepers.note_intake", g.note_intake, 1.0, 1e6)?;
         within("gatekeepers.max_attempts", g.max_attempts.into(), 0.0, 100.0)?;
+        within("gatekeepers.down_s", g.down_s, 0.001, SECONDS_MOST)?;
         let s = &self.servers;
         within("servers.count", s.count.into(), 1.0, SERVERS_MOST.into())?;
         within("servers.zones", s.zones.into(), 1.0, 1000.0)?;
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -24,8 +24,6 @@
 
 /// The module hears of a limit so much before the client's, as the gatekeeper on sockets tells it.
 const MARGIN_MS: f64 = 6.0;
-/// A killed gatekeeper is back after this time.
-const DOWN_MS: f64 = 1000.0;
 /// A gatekeeper whose call to discovery failed calls again after this time, from and to.
 const LIST_AGAIN_MS: [f64; 2] = [100.0, 1000.0];
 /// After the last request, the run goes on for so long at the most.
@@ -444,7 +442,7 @@
                 self.client_again(tried.asked, None, true);
             }
         }
-        self.queue.put(self.now + DOWN_MS, Ev::Start(k));
+        self.queue.put(self.now + 1000.0 * self.scenario.gatekeepers.down_s, Ev::Start(k));
     }
 
     fn tell_mind(&mut self, k: u32, event: Event) {
@@ -922,7 +920,11 @@
                 if step + 1 < fault.count {
                     let gap = fault.for_s * 1000.0 / f64::from(fault.count);
                     // The same keeper is up again before it dies again; a herd dies all at once.
-                    let least = if fault.kind == Kind::KillKeeper { DOWN_MS + 1.0 } else { 1.0 };
+                    let least = if fault.kind == Kind::KillKeeper {
+                        1000.0 * self.scenario.gatekeepers.down_s + 1.0
+                    } else {
+                        1.0
+                    };
                     self.queue.put(self.now + gap.max(least), Ev::Fault { which, step: step + 1 });
                 }
             }
--- a/src/ceiling.rs
+++ b/src/ceiling.rs
@@ -28,7 +28,7 @@
 }
 
 /// The least part of a ceiling that the slices of a whole set hold together, for whoever says ahead what one of them may
-/// have held. Without a quota, without notes or with capped places they hold more.
+/// have held. Without a quota, without notes or with capped places they hold more, in a set too large for slices nothing.
 #[must_use]
 pub fn least_sliced(rate: f64, ceiling_rate: f64) -> f64 {
     if rate > 0.0 && ceiling_rate > 0.0 { DEALT - keepers_part(rate, ceiling_rate) } else { 1.0 }
@@ -41,6 +41,8 @@
     pub notes: bool,
     /// Whether there is one gateway alone, which is asked for everything.
     pub alone: bool,
+    /// The units of the largest request.
+    pub largest: f64,
 }
 
 impl Dealing {
@@ -57,20 +59,34 @@
         plan.ceiling_rate > 0.0 && !(self.notes && plan.rate > 0.0 && plan.open == 0)
     }
 
-    /// What one of so many keepers of a customer holds; where slices hold all, it holds nothing back either.
-    pub fn kept(self, plan: &Plan, keepers: f64) -> Share {
+    /// Whether a set is so large that a slice would never let the largest request out: then they are nothing, and the
+    /// keeper holds what they would have held.
+    pub fn whole(self, plan: &Plan, set: f64) -> bool {
+        let most = (plan.ceiling_burst + plan.ceiling_slack) / set;
+        !self.alone
+            && !self.sliced(plan)
+            && most * (DEALT - keepers_part(plan.rate, plan.ceiling_rate)) < self.largest
+    }
+
+    /// What one of so many keepers of a customer holds; where slices hold all, it holds nothing back either. `whole`: as
+    /// [`Dealing::whole`] says of the customer's set.
+    pub fn kept(self, plan: &Plan, keepers: f64, whole: bool) -> Share {
         if self.sliced(plan) {
             return ENDLESS;
         }
-        let part = if self.alone { 1.0 } else { keepers_part(plan.rate, plan.ceiling_rate) / keepers };
-        Dealing::part(plan, part)
+        let part = match whole {
+            _ if self.alone => 1.0,
+            true => DEALT,
+            false => keepers_part(plan.rate, plan.ceiling_rate),
+        };
+        Dealing::part(plan, part / keepers)
     }
 
     /// What one of so many gateways of a customer's set may send on without a fresh grant.
     pub fn slice(self, plan: &Plan, set: f64) -> Share {
         let part = match self.sliced(plan) {
             true => 1.0,
-            false if self.alone => 0.0,
+            false if self.alone || self.whole(plan, set) => 0.0,
             false => DEALT - keepers_part(plan.rate, plan.ceiling_rate),
         };
         Dealing::part(plan, part / set)
@@ -123,7 +139,7 @@
     use super::*;
     use proptest::prelude::*;
 
-    const ASKED: Dealing = Dealing { notes: true, alone: false };
+    const ASKED: Dealing = Dealing { notes: true, alone: false, largest: 1.0 };
 
     fn plan(rate: f64, burst: f64) -> Plan {
         Plan {
@@ -149,29 +165,46 @@
     fn no_way_of_dealing_holds_more_than_the_ceiling() {
         let whole = plan(20.0, 40.0);
         for (rate, open) in [(0.0, 0), (5.0, 0), (30.0, 0), (10.0, 3)] {
-            for (notes, set) in [(true, 1.0), (true, 5.0), (false, 5.0)] {
-                let (p, way) = (Plan { rate, open, ..whole.clone() }, Dealing { notes, alone: set <= 1.0 });
+            for (notes, set) in [(true, 1.0), (true, 5.0), (true, 75.0), (false, 5.0)] {
+                let (p, way) = (
+                    Plan { rate, open, ..whole.clone() },
+                    Dealing { notes, alone: set <= 1.0, largest: 1.0 },
+                );
                 // Where slices hold all, a keeper's grant covers nothing, and its endless part is never drawn on.
-                let kept = if way.sliced(&p) { 0.0 } else { way.kept(&p, 1.0).most };
+                let kept = if way.sliced(&p) { 0.0 } else { way.kept(&p, 1.0, way.whole(&p, set)).most };
                 let all = kept + set * way.slice(&p, set).most;
                 assert!(
                     (0.9 * 44.0..=44.0 + 1e-9).contains(&all),
                     "{all} of 44 at {rate}, {open}, {notes}, {set}"
                 );
                 assert!(
-                    set * way.slice(&p, set).rate + 1e-9 >= least_sliced(rate, 20.0) * 20.0 || set <= 1.0
+                    set * way.slice(&p, set).rate + 1e-9 >= least_sliced(rate, 20.0) * 20.0
+                        || set <= 1.0
+                        || way.whole(&p, set)
                 );
             }
         }
     }
 
+    /// A slice of a 75th never held a request, and the third of the ceiling that lay in slices was of no use to anybody.
+    #[test]
+    fn in_a_large_set_the_keeper_holds_what_no_slice_could_let_out() {
+        let p = plan(20.0, 40.0);
+        for set in [1.0, 8.0, 13.0, 14.0, 75.0] {
+            let (slice, whole) = (ASKED.slice(&p, set).most, ASKED.whole(&p, set));
+            assert_eq!(whole, set > 13.0);
+            assert!(if whole { slice == 0.0 } else { slice >= ASKED.largest });
+        }
+        assert!(ASKED.kept(&p, 1.0, true).most > 1.4 * ASKED.kept(&p, 1.0, false).most);
+    }
+
     #[test]
     fn a_new_life_holds_nothing_at_first() {
         let p = plan(20.0, 40.0);
         let mut store = Store::default();
-        store.fill(ASKED.kept(&p, 1.0), 0.0);
+        store.fill(ASKED.kept(&p, 1.0, false), 0.0);
         assert!(!store.holds(0.5));
-        store.fill(ASKED.kept(&p, 1.0), 1000.0);
+        store.fill(ASKED.kept(&p, 1.0, false), 1000.0);
         assert!(store.holds(12.0) && !store.holds(13.0));
     }
 
@@ -180,10 +213,11 @@
         /// sum stays within the ceiling's store, which held its burst and slack at the start of the span.
         #[test]
         fn the_sum_of_all_shares_keeps_the_ceiling(
-            rate in 5.0..40.0f64, quota in 0.1..1.5f64, burst in 10.0..80.0f64, set in 1u32..12, keepers in 1u32..3,
-            steps in prop::collection::vec((0u32..16, 0.0..400.0f64, 0.5..6.0f64, prop::bool::weighted(0.02)), 1..400),
+            rate in 5.0..40.0f64, quota in 0.1..1.5f64, burst in 10.0..80.0f64, set in 1u32..40, keepers in 1u32..3,
+            largest in 0.5..6.0f64,
+            steps in prop::collection::vec((0u32..48, 0.0..400.0f64, 0.5..6.0f64, prop::bool::weighted(0.02)), 1..400),
         ) {
-            let p = Plan { rate: quota * rate, ..plan(rate, burst) };
+            let (p, way) = (Plan { rate: quota * rate, ..plan(rate, burst) }, Dealing { largest, ..ASKED });
             let mut stores = vec![Store::default(); (set + keepers) as usize];
             let (mut now, mut at) = (0.0, vec![0.0; stores.len()]);
             // The ceiling's own store, as the rule counts it.
@@ -194,7 +228,7 @@
                 let who = who as usize % stores.len();
                 let keeps = who < keepers as usize;
                 let share =
-                    if keeps { ASKED.kept(&p, f64::from(keepers)) } else { ASKED.slice(&p, f64::from(set)) };
+                    if keeps { way.kept(&p, f64::from(keepers), way.whole(&p, f64::from(set))) } else { way.slice(&p, f64::from(set)) };
                 if dies {
                     (stores[who], at[who]) = (Store::default(), now);
                 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -93,6 +93,8 @@
     cfg: Settings,
     rng: Pcg64Mcg,
     now: f64,
+    /// When this life began.
+    born: Option<f64>,
     customers: Swept<Customer>,
     post: Post,
     servers: Roster,
@@ -147,6 +149,7 @@
         Ok(Control {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
+            born: None,
             customers: Swept::default(),
             servers: Roster::default(),
             rumors: Rumors::new(cfg.me, if many { rumor_rate(&cfg) } else { 0.0 }, seed),
@@ -175,12 +178,13 @@
     }
 
     fn deal(&self) -> Dealing {
-        Dealing { notes: self.cfg.notes, alone: self.cfg.gateways == 1 }
+        Dealing { notes: self.cfg.notes, alone: self.cfg.gateways == 1, largest: self.cfg.largest }
     }
 
     /// Takes one event and gives what is to be done, in that order.
     pub fn handle(&mut self, now: f64, event: Event) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.born.get_or_insert(now);
         match event {
             Event::Servers { listing, servers } => self.on_servers(listing, servers),
             Event::Request(request) => self.on_request(request, false),
@@ -307,7 +311,8 @@
         let most = (WAIT * aim).min((request.give_up - now).max(0.0) / 2.0);
         self.asks += 1;
         let number = self.asks;
-        let ask = Ask { from: me, number, units, extra: 0.0, shared, until: now + most };
+        let whole = deal.whole(&plan, n);
+        let ask = Ask { from: me, number, units, extra: 0.0, shared, whole, until: now + most };
         let place = Some(number);
         let Some(c) = self.customers.get_mut(&key) else { return };
         let (until, queued) = (ask.until, true);
@@ -433,12 +438,15 @@
 
     /// Customers not seen in this life get what may be used of the former one; of others no store grows.
     fn on_restore(&mut self, levels: &[Level]) {
-        let plans = self.cfg.plans.len();
+        let (plans, now) = (self.cfg.plans.len(), self.now);
         for l in levels.iter().filter(|l| l.plan < plans) {
             let known = self.customers.contains_key(&l.key);
             let c = self.customer(l.key, l.plan);
             (c.level, c.slice) = (c.level.min(l.store), c.slice.min(l.store));
-            c.ceiling = if known { c.ceiling } else { Store::new(l.ceiling) };
+            if !known {
+                // What has filled since is in it.
+                (c.ceiling, c.slice_at) = (Store::new(l.ceiling), now);
+            }
         }
     }
 
@@ -460,16 +468,18 @@
     fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
         let p = &self.cfg.plans[plan];
         let (now, credit) = (self.now, self.rng.random::<f64>());
-        // The ceiling's slice is empty at the start: a former life of this gateway may have spent it.
+        // Shares of a ceiling are empty at the start of a life, as a former one may have spent them, and
+        // fill from then on: for a customer not seen since then too.
+        let since = self.born.unwrap_or(now).max(now - IDLE_MS);
         let c = self.customers.entry(key, || Customer {
             plan: plan as u32,
-            at: now,
+            at: since,
             level: p.burst,
             credit,
             asked_at: f64::NEG_INFINITY,
             slots: u32::MAX,
             slice: p.burst,
-            slice_at: now,
+            slice_at: since,
             ..Customer::default()
         });
         c.seen = now;
@@ -579,7 +589,7 @@
         let ms = self.now - c.at;
         c.at = self.now;
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
-        c.kept.fill(deal.kept(plan, parts), ms);
+        c.kept.fill(deal.kept(plan, parts, !c.sliced), ms);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
         // Of many gateways none knows how long the others' attempts take: as long as one may be out.
@@ -618,7 +628,7 @@
 
     /// A gateway asks for a request's units and place. Granted ones are taken at once.
     fn asked(&mut self, key: u64, plan: usize, ask: Ask, weight: f64) -> (Word, f64) {
-        self.customer(key, plan);
+        self.customer(key, plan).sliced |= !ask.whole;
         self.refill(key);
         // Places whose return was lost come free by time alone: nobody else would tell the line of it.
         self.hand_out(key);
--- a/src/note.rs
+++ b/src/note.rs
@@ -33,10 +33,12 @@
     /// The item as text. The time a question is good for goes along in place of its end.
     pub(crate) fn write(&self, key: u64, now: f64) -> String {
         match *self {
-            Item::Ask { plan, ask: Ask { number, units, extra, shared, until, .. }, weight } => {
+            Item::Ask { plan, ask: Ask { number, units, extra, shared, whole, until, .. }, weight } => {
                 let kind = if shared { 'p' } else { 'a' };
-                let most = until - now;
-                format!("{kind},{key:x},{plan},{number:x},{units:.1},{extra:.1},{weight:.1},{most:.0};")
+                let (most, whole) = (until - now, if whole { ",w" } else { "" });
+                format!(
+                    "{kind},{key:x},{plan},{number:x},{units:.1},{extra:.1},{weight:.1},{most:.0}{whole};"
+                )
             }
             Item::Tell { plan, units, place } => {
                 let place = place.map_or(String::new(), |k| format!("{k:x}"));
@@ -59,7 +61,8 @@
         let item = match parts[0] {
             kind @ ("a" | "p") => {
                 let (units, extra, until) = (least(4)?, least(5)?, now + least(7)?);
-                let ask = Ask { from, number: hex(3)?, units, extra, shared: kind == "p", until };
+                let (shared, whole) = (kind == "p", parts.get(8) == Some(&"w"));
+                let ask = Ask { from, number: hex(3)?, units, extra, shared, whole, until };
                 Item::Ask { plan: code, ask, weight: least(6)? }
             }
             "t" => Item::Tell { plan: code, units: number(4)?, place: hex(3) },
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,8 +31,9 @@
     /// What this gateway has out, and the most where each has places of its own.
     pub open: u32,
     pub slots: u32,
-    /// At its keeper: the keeper's part of the ceiling, as of `at`.
+    /// At its keeper: the keeper's part of the ceiling, as of `at`; whether it was last asked by one that holds a slice.
     pub kept: Store,
+    pub sliced: bool,
     /// This gateway's slices of the ceiling and of the quota, as of `slice_at`; its own demand is too.
     pub ceiling: Store,
     pub slice: f64,
@@ -77,6 +78,8 @@
     pub extra: f64,
     /// Whether it needs one of the places that all gateways share.
     pub shared: bool,
+    /// Whether the customer's set is too large for slices of its ceiling.
+    pub whole: bool,
     pub until: f64,
 }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -275,6 +275,57 @@
     assert!(passed >= 14, "{passed} sent at once");
 }
 
+/// A life's shares fill from its start. Counted from a customer's first request on, a keeper that had been up for a minute
+/// turned the first large request of every shop away.
+#[test]
+fn a_ceiling_fills_from_the_start_of_a_life_for_who_comes_later_too() {
+    let plan = Plan {
+        rate: 10.0,
+        burst: 20.0,
+        ceiling_rate: 20.0,
+        ceiling_burst: 40.0,
+        ..settings().plans[0].clone()
+    };
+    let cfg = Settings { gateways: 2, plans: vec![plan], largest: 4.0, ..settings() };
+    let large = |id: u64, now: f64| {
+        let Event::Request(r) = ask(id, 0, 0, now) else { unreachable!("a request") };
+        Event::Request(Request { units: 4.0, ..r })
+    };
+    let mut g = gateway(cfg.clone());
+    g.handle(0.0, Event::Timer { token: 1 });
+    assert!(sent(&g.handle(100.0, large(1, 100.0))).is_none(), "a former life may have spent it");
+    let mut g = gateway(cfg.clone());
+    g.handle(0.0, Event::Timer { token: 1 });
+    assert!(sent(&g.handle(1000.0, large(1, 1000.0))).is_some(), "a second's worth is there");
+    // However long the life, no more than the store holds.
+    let mut g = gateway(cfg);
+    g.handle(0.0, Event::Timer { token: 1 });
+    let passed = (0..40u64).filter(|k| sent(&g.handle(9e5, large(*k, 9e5))).is_some()).count();
+    assert!((1..=5).contains(&passed), "{passed}: the quota's store holds five");
+}
+
+/// What a record restores says what is there now; nothing that would have filled since the start comes on top.
+#[test]
+fn a_restored_slice_is_not_filled_from_the_start_of_the_life() {
+    let plan = Plan {
+        ceiling_rate: 20.0,
+        ceiling_burst: 40.0,
+        ceiling_slack: 4.0,
+        rate: 0.0,
+        ..settings().plans[0].clone()
+    };
+    let cfg = Settings { gateways: 2, plans: vec![plan], ..settings() };
+    let mut former = gateway(cfg.clone());
+    former.handle(0.0, ask(1, 0, 0, 0.0));
+    let (levels, _) = former.levels(0, 256);
+    let restored = Level { store: 0.0, ceiling: 2.0, ..levels[0] };
+    let mut g = gateway(cfg);
+    g.handle(0.0, Event::Timer { token: 1 });
+    g.handle(5000.0, Event::Restore(vec![restored]));
+    let passed = (0..40u64).filter(|k| serve(&mut g, *k, 0, 0, 5000.0)).count();
+    assert_eq!(passed, 2, "as much as was restored");
+}
+
 /// Each gateway of a set of eight has an eighth of the ceiling: slices alone would turn away most of what comes through
 /// one of them with the ceiling hardly touched.
 #[test]
@@ -308,7 +359,7 @@
             }
         }
     }
-    assert_eq!(passed, 39, "all but the first, before which the keeper's new part was empty");
+    assert_eq!(passed, 41, "all of them, with the one that waited for an answer since the start");
 }
 
 #[test]
