Send no question or refusal that comes too late to be of use

Seen in simulation: only 3% of the notes were lost, but each gatekeeper may send 45 a second and had a third more to say. src/post.rs sent what was due by peer in turn however long it had waited, so that nearly every question went out after its asker had gone on, was granted by the keeper, and given back by a further note.

Items now carry the time after which they are of no use: a question until the end of its asker's wait (until now it said so only for places), a refusal until its question's; both are left out when their note goes. Grants, and what tells of use, always go.

--- a/crates/checks/src/route.rs
+++ b/crates/checks/src/route.rs
@@ -1,7 +1,7 @@
 //! Which gatekeeper decides a check.
 //!
 //! Only one of the shop's set may. Plans without a ceiling go to the one that keeps the shop's store, where it can be
-//! had: it decides at once, with no note to anybody. Each gatekeeper of the set has a slice of a ceiling, though, so
+//! had: it decides at once, with no note to anybody. Each gatekeeper of the set may hold a slice of a ceiling, though, so
 //! checks of plans with one go round the set, and use all slices alike.
 
 use std::collections::HashMap;
--- a/src/control.rs
+++ b/src/control.rs
@@ -312,10 +312,13 @@
         self.asks += 1;
         let number = self.asks;
         let whole = deal.whole(&plan, n);
-        let ask = Ask { from: me, number, units, extra: 0.0, shared, whole, until: now + most };
+        // A question for a place may wait in its line; no other is of use once its asker has gone on.
+        let asks = (ASK_PART * aim).min(most / 2.0);
+        let until = now + if shared { most } else { asks };
+        let ask = Ask { from: me, number, units, extra: 0.0, shared, whole, until };
         let place = Some(number);
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let (until, queued) = (ask.until, true);
+        let (until, queued) = (now + most, true);
         let mut job = Job { request, check, key, keeper, tier, arrived: now, number, place, until, queued };
         if keeper == me {
             return match self.asked(key, name, ask, if check { weight } else { units }).0 {
@@ -329,13 +332,13 @@
             let ask = Ask { units: if ample { 0.0 } else { units }, extra, ..ask };
             c.untold = 0.0;
             c.asked_at = if extra > 0.0 { now } else { c.asked_at };
-            self.note(keeper, key, 0.0, Item::Ask { plan: name, ask, weight });
+            self.note(keeper, key, (0.0, ask.until), Item::Ask { plan: name, ask, weight });
         }
         if ample {
             job.place = None;
             return self.admit(job);
         }
-        job.until = now + if self.cfg.notes { (ASK_PART * aim).min(most / 2.0) } else { 0.0 };
+        job.until = now + if self.cfg.notes { asks } else { 0.0 };
         (job.queued, job.place) = (false, None);
         self.wait(job);
     }
@@ -678,7 +681,9 @@
         }
         let Some(c) = self.customers.get(&key) else { return };
         let (Ask { from, number, .. }, demand, granted, level) = (*ask, c.demand, c.granted, c.level);
-        self.note(from, key, 0.0, Item::Answer { number, word, units, demand, granted, level });
+        // A refusal comes too late for nobody's good; a grant that does is given back.
+        let until = if word == Word::Deny { ask.until } else { f64::INFINITY };
+        self.note(from, key, (0.0, until), Item::Answer { number, word, units, demand, granted, level });
     }
 
     fn answered(&mut self, key: u64, keeper: u32, number: u64, word: Word, units: f64) {
@@ -724,7 +729,7 @@
             self.told(key, plan, units, place.map(|k| (keeper, k)));
         } else if place.is_some() || (units != 0.0 && self.cfg.plans[plan].rate > 0.0) {
             let wait = if place.is_some() { 0.0 } else { TELL_MS };
-            self.note(keeper, key, wait, Item::Tell { plan, units, place });
+            self.note(keeper, key, (wait, f64::INFINITY), Item::Tell { plan, units, place });
         }
     }
 
@@ -980,9 +985,10 @@
         self.choose(Want { class, most, group, avoid: Some(&o.server) })
     }
 
-    /// Puts an item into the next note to a peer, which goes after `wait` ms at the latest.
-    fn note(&mut self, to: u32, key: u64, wait: f64, item: Item) {
-        if let Some(text) = self.post.put(to, self.now + wait, item.write(key, self.now)) {
+    /// Puts an item into the next note to a peer, which goes after `wait` ms at the latest; past `until` it
+    /// is of no more use.
+    fn note(&mut self, to: u32, key: u64, (wait, until): (f64, f64), item: Item) {
+        if let Some(text) = self.post.put(to, self.now + wait, until, item.write(key, self.now)) {
             self.actions.push(Action::Tell { to, text });
         }
     }
