--- a/benches/size.rs
+++ b/benches/size.rs
@@ -89,8 +89,8 @@
         .map(|round| {
             let all = (0..REQUESTS / 5).map(|k| {
                 let id = round * REQUESTS / 5 + k;
-                if gateways > 1 && id % 1333 == 0 {
-                    let note = Event::Note { from: 1 + (id / 1333 % 90) as u32, text: rumour(id).into() };
+                if gateways > 1 && id.is_multiple_of(1333) {
+                    let note = Event::Note { from: 1 + (id / 1333 % 90) as u32, text: rumour(id) };
                     g.handle(1.0 + id as f64 * 0.05, note);
                 }
                 let (us, served) = serve(&mut g, id, 1.0 + id as f64 * 0.05, &names[(k % 2000) as usize]);
--- a/src/post.rs
+++ b/src/post.rs
@@ -6,12 +6,14 @@
 /// The longest note.
 const NOTE_BYTES: usize = 256;
 
+/// What is to be told in one note: from when on it goes, and its items, each with the time after which it is of no more use.
+type Letter = (f64, Vec<(f64, String)>);
+
 /// Notes to be sent.
 #[derive(Default)]
 pub(crate) struct Post {
-    /// By peer: from when on what is to be told goes in a note of its own, and its items, each with the time after which
-    /// it is of no more use.
-    items: BTreeMap<u32, (f64, Vec<(f64, String)>)>,
+    /// By peer.
+    items: BTreeMap<u32, Letter>,
     /// What is to be said again in a note of its own, in the order of its times.
     again: VecDeque<(f64, u32, String)>,
     /// The peer whose turn is next.
@@ -60,7 +62,7 @@
         if self.left < 1.0 {
             return None;
         }
-        let due = |(_, (at, _)): &(&u32, &(f64, Vec<(f64, String)>))| *at <= now;
+        let due = |(_, (at, _)): &(&u32, &Letter)| *at <= now;
         loop {
             let to = *self.items.range(self.turn..).find(due).or(self.items.iter().find(due))?.0;
             let (_, items) = self.items.remove(&to)?;
