--- a/crates/sim/src/page.rs
+++ b/crates/sim/src/page.rs
@@ -1,6 +1,6 @@
 //! Reports on runs: text for a terminal, and one HTML page with plots.
 
-use crate::herds::Act;
+use crate::herds::{Act, Herd};
 use crate::tally::{Report, Second};
 use frostvale_charts::{self as charts, AMBER, BLUE, GREEN, PURPLE, RED};
 use std::fmt::Write;
@@ -19,6 +19,13 @@
     )
 }
 
+/// A herd as a line.
+fn herd(h: &Herd) -> String {
+    let target = if h.act == Act::List { String::new() } else { format!(" {}", h.target) };
+    let (at, many) = (h.at_ms as f64 / 1000.0, h.gatekeepers);
+    format!("{many} gatekeepers {}{target} ({} times) in the 100 ms from {at:.1} s", h.act.name(), h.times)
+}
+
 /// A run as text.
 #[must_use]
 pub fn text(r: &Report) -> String {
@@ -73,15 +80,7 @@
         r.back_s.map_or(String::new(), |s| format!("; as before the first fault after {s} s"))
     );
     for h in &r.herds {
-        let _ = writeln!(
-            out,
-            "at once: {} gatekeepers {} {} ({} times) in the 100 ms from {:.1} s",
-            h.gatekeepers,
-            h.act.name(),
-            if h.act == Act::List { String::new() } else { h.target.to_string() },
-            h.times,
-            h.at_ms as f64 / 1000.0
-        );
+        let _ = writeln!(out, "at once: {}", herd(h));
     }
     for m in &r.missed {
         let _ = writeln!(out, "missed: {m}");
@@ -106,6 +105,10 @@
         }
         seen.push(&r.scenario);
         let _ = write!(body, "<h2>{} (seed {})</h2>\n{}", charts::escape(&r.scenario), r.seed, plots(r)?);
+        let herds: Vec<String> = r.herds.iter().map(herd).collect();
+        if !herds.is_empty() {
+            let _ = write!(body, "<h3>At once</h3>\n<pre>{}</pre>\n", charts::escape(&herds.join("\n")));
+        }
     }
     let all: Vec<String> = reports.iter().map(line).collect();
     let json = serde_json::to_string(reports).map_err(|e| e.to_string())?;
--- a/crates/sim/tests/days.rs
+++ b/crates/sim/tests/days.rs
@@ -65,6 +65,7 @@
     let read: Report = serde_json::from_str(&of(5)).expect("a report");
     let html = page::html(&[read]).expect("drawn");
     assert_eq!(html.matches("<svg").count(), 7);
+    assert!(html.contains("gatekeepers fetched the list from discovery (3 times)"), "who did what at once");
 }
 
 fn faults() -> impl Strategy<Value = Fault> {
