--- a/crates/sim/src/shrink.rs
+++ b/crates/sim/src/shrink.rs
@@ -90,14 +90,18 @@
             s.faults.remove(k);
         }));
     }
-    all.push(changed(s, |s| s.seconds = (s.seconds / 2.0).max(0.1)));
-    all.push(changed(s, |s| s.load.rate /= 2.0));
-    all.push(changed(s, |s| s.load.shops = (s.load.shops / 4).max(1)));
+    // A quarter may fail by none of the seeds where fewer still do, or half.
+    for shops in [s.load.shops / 4, s.load.shops / 2, 4.min(s.load.shops), s.load.shops.saturating_sub(1)] {
+        all.push(changed(s, |s| s.load.shops = shops.max(1)));
+    }
     all.push(changed(s, |s| s.servers.count = (s.servers.count / 2).max(1)));
     all.push(changed(s, |s| {
         s.gatekeepers.count = (s.gatekeepers.count / 2).max(1);
         s.gatekeepers.spread = s.gatekeepers.spread.map(|n| n.min(s.gatekeepers.count));
     }));
+    // Less time or load leaves a failure fewer chances: what is large goes first.
+    all.push(changed(s, |s| s.seconds = (s.seconds / 2.0).max(0.1)));
+    all.push(changed(s, |s| s.load.rate /= 2.0));
     all.push(changed(s, |s| (s.load.once, s.load.top) = (0.0, 0.0)));
     all.push(changed(s, |s| s.load.retries = 0));
     all.push(changed(s, |s| s.load.uneven = 0.0));
