Fill no restored store from the start of a life, and no keeper's part on mere hearsay

Found on reading the change again, each by a test that failed first: - src/control.rs, on_restore: since customers are taken to have been there from the start of a life, a restored quota store was filled for that time on top of what the record said (4 requests passed where 1 unit was restored). What has filled is settled before the restored level is set. - src/control.rs, refill: a keeper that was told of a customer before anybody asked (a place or units given back) filled its part at the rate of a set without slices, 18 units after a second where 17 are its part. Whether all that asked hold no slices is now known, not known, or ruled out for good. - src/post.rs, put: a note that became full took questions along that nobody waited for; they are left out there too.

--- a/src/control.rs
+++ b/src/control.rs
@@ -11,12 +11,13 @@
 use crate::hands::{Hands, Waits};
 use crate::live::*;
 use crate::lots::Lots;
-use crate::note::{Item, key_of};
+use crate::note::{Item, keeper_at, key_of};
 use crate::post::Post;
 use crate::roster::Roster;
 use crate::rumors::{MARK, Rumors};
 use crate::state::*;
 use crate::swept::Swept;
+use crate::tiers::tiers;
 use crate::window::Window;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -27,8 +28,6 @@
 /// A tier passes this many a second for each server, from all gateways together, whatever the
 /// chance, so that recovery is seen: a minimum for each gateway would add up to an overload.
 const MIN_RATE: f64 = 0.15;
-/// Worth times price below this part of a tier's best begins the next tier.
-const TIER_STEP: f64 = 0.7;
 /// The wait foreseen at a server may be this part of the aim, as answers scatter widely around it; with
 /// many gateways, which can only guess at a server's load, half as much again.
 const ROOM: f64 = 0.19;
@@ -132,20 +131,8 @@
     /// When the settings hold a figure that cannot be acted on.
     pub fn new(cfg: Settings, seed: u64) -> Result<Self, SettingsError> {
         cfg.check()?;
-        let value = |c: &Class, p: &Plan| c.worth * p.price;
-        let mut values: Vec<f64> =
-            cfg.classes.iter().flat_map(|c| cfg.plans.iter().map(move |p| value(c, p))).collect();
-        values.sort_by(|a, b| b.total_cmp(a));
-        let mut tops: Vec<f64> = Vec::new();
-        for v in values {
-            if tops.last().is_none_or(|top| v < TIER_STEP * top) {
-                tops.push(v);
-            }
-        }
-        let tier = |v: f64| tops.iter().rposition(|top| v <= *top).unwrap_or(0);
-        let tier_of =
-            cfg.classes.iter().map(|c| cfg.plans.iter().map(|p| tier(value(c, p))).collect()).collect();
-        let (tiers, many) = (tops.len().max(1), cfg.gateways > FEW);
+        let (tier_of, tiers) = tiers(&cfg.classes, &cfg.plans);
+        let many = cfg.gateways > FEW;
         Ok(Control {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
@@ -345,10 +332,8 @@
 
     /// One gateway of a customer's set, found from its key, keeps its store.
     fn keeper(&self, key: u64, request: &Request) -> u32 {
-        let all = self.cfg.gateways;
-        let spread = if request.spread == 0 { all } else { request.spread.min(all) };
         let which = key + u64::from(self.cfg.me % self.keepers(request.plan));
-        (request.first + (which % u64::from(spread)) as u32) % all
+        keeper_at(which, (request.first, request.spread), self.cfg.gateways)
     }
 
     /// Refuses. Where the store, as far as it is known here, won't hold the units before the aim, it
@@ -444,10 +429,12 @@
         let (plans, now) = (self.cfg.plans.len(), self.now);
         for l in levels.iter().filter(|l| l.plan < plans) {
             let known = self.customers.contains_key(&l.key);
-            let c = self.customer(l.key, l.plan);
+            self.customer(l.key, l.plan);
+            // What has filled since the start is in what is restored.
+            self.refill(l.key);
+            let Some(c) = self.customers.get_mut(&l.key) else { continue };
             (c.level, c.slice) = (c.level.min(l.store), c.slice.min(l.store));
             if !known {
-                // What has filled since is in it.
                 (c.ceiling, c.slice_at) = (Store::new(l.ceiling), now);
             }
         }
@@ -592,7 +579,7 @@
         let ms = self.now - c.at;
         c.at = self.now;
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
-        c.kept.fill(deal.kept(plan, parts, !c.sliced), ms);
+        c.kept.fill(deal.kept(plan, parts, c.whole == Some(true)), ms);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
         // Of many gateways none knows how long the others' attempts take: as long as one may be out.
@@ -631,7 +618,8 @@
 
     /// A gateway asks for a request's units and place. Granted ones are taken at once.
     fn asked(&mut self, key: u64, plan: usize, ask: Ask, weight: f64) -> (Word, f64) {
-        self.customer(key, plan).sliced |= !ask.whole;
+        let c = self.customer(key, plan);
+        c.whole = Some(ask.whole && c.whole != Some(false));
         self.refill(key);
         // Places whose return was lost come free by time alone: nobody else would tell the line of it.
         self.hand_out(key);
@@ -988,7 +976,7 @@
     /// Puts an item into the next note to a peer, which goes after `wait` ms at the latest; past `until` it
     /// is of no more use.
     fn note(&mut self, to: u32, key: u64, (wait, until): (f64, f64), item: Item) {
-        if let Some(text) = self.post.put(to, self.now + wait, until, item.write(key, self.now)) {
+        if let Some(text) = self.post.put(self.now, to, (self.now + wait, until), item.write(key, self.now)) {
             self.actions.push(Action::Tell { to, text });
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 mod rumors;
 mod state;
 mod swept;
+mod tiers;
 mod window;
 
 pub use api::*;
--- a/src/note.rs
+++ b/src/note.rs
@@ -25,8 +25,13 @@
 /// since any gateway of the set answers.
 #[must_use]
 pub fn keeper_of(customer: &str, first: u32, spread: u32, gateways: u32) -> u32 {
+    keeper_at(key_of(customer), (first, spread), gateways)
+}
+
+/// The same of a key.
+pub(crate) fn keeper_at(key: u64, (first, spread): (u32, u32), gateways: u32) -> u32 {
     let spread = u64::from(if spread == 0 { gateways } else { spread.min(gateways) }.max(1));
-    (first + (key_of(customer) % spread) as u32) % gateways.max(1)
+    (first + (key % spread) as u32) % gateways.max(1)
 }
 
 impl Item {
--- a/src/post.rs
+++ b/src/post.rs
@@ -27,10 +27,13 @@
 
 impl Post {
     /// Puts an item into the next note to a peer, which is due at this time at the latest, and of use until `until`. Gives
-    /// the note before it where that is full.
-    pub fn put(&mut self, to: u32, due: f64, until: f64, item: String) -> Option<String> {
+    /// the note before it where that is full of what is still of use.
+    pub fn put(&mut self, now: f64, to: u32, (due, until): (f64, f64), item: String) -> Option<String> {
         let (at, items) = self.items.entry(to).or_insert((due, Vec::new()));
         *at = at.min(due);
+        if items.iter().map(|(_, text)| text.len()).sum::<usize>() + item.len() > NOTE_BYTES {
+            items.retain(|(until, _)| *until > now);
+        }
         let len: usize = items.iter().map(|(_, text)| text.len()).sum();
         if len + item.len() > NOTE_BYTES {
             self.left -= 1.0;
@@ -51,7 +54,7 @@
     pub fn next(&mut self, now: f64, rate: f64) -> Option<(u32, String)> {
         while self.again.front().is_some_and(|(at, ..)| *at <= now) {
             if let Some((at, to, item)) = self.again.pop_front()
-                && let Some(full) = self.put(to, at, f64::INFINITY, item)
+                && let Some(full) = self.put(now, to, (at, f64::INFINITY), item)
             {
                 return Some((to, full));
             }
@@ -98,15 +101,15 @@
     fn items_share_notes_and_notes_keep_to_the_rate() {
         let mut post = Post::default();
         let item = "x".repeat(100);
-        assert_eq!(post.put(1, 0.0, f64::INFINITY, item.clone()), None);
-        assert_eq!(post.put(1, 0.0, f64::INFINITY, item.clone()), None);
+        assert_eq!(post.put(0.0, 1, (0.0, f64::INFINITY), item.clone()), None);
+        assert_eq!(post.put(0.0, 1, (0.0, f64::INFINITY), item.clone()), None);
         assert_eq!(
-            post.put(1, 0.0, f64::INFINITY, item.clone()).map(|t| t.len()),
+            post.put(0.0, 1, (0.0, f64::INFINITY), item.clone()).map(|t| t.len()),
             Some(200),
             "full before the third"
         );
         for to in 2..200 {
-            post.put(to, 0.0, f64::INFINITY, item.clone());
+            post.put(0.0, to, (0.0, f64::INFINITY), item.clone());
         }
         // A tenth of a second's at one stroke, then 50 a second.
         let mut sent = 0;
@@ -124,7 +127,7 @@
     #[test]
     fn what_is_said_again_goes_in_a_note_of_its_own() {
         let mut post = Post::default();
-        assert_eq!(post.put(1, 0.0, f64::INFINITY, "x".into()), None);
+        assert_eq!(post.put(0.0, 1, (0.0, f64::INFINITY), "x".into()), None);
         post.repeat(1, 150.0, "x".into());
         assert_eq!(post.next(100.0, 50.0), Some((1, "x".into())));
         assert_eq!(post.next(140.0, 50.0), None);
@@ -138,9 +141,9 @@
     fn what_is_of_no_more_use_is_not_sent() {
         let mut post = Post::default();
         for to in 0..100 {
-            post.put(to, 0.0, 100.0 + f64::from(to), "x;".into());
+            post.put(0.0, to, (0.0, 100.0 + f64::from(to)), "x;".into());
         }
-        post.put(7, 0.0, f64::INFINITY, "y;".into());
+        post.put(0.0, 7, (0.0, f64::INFINITY), "y;".into());
         post.left = 1.0;
         assert_eq!(post.next(0.0, 10.0), Some((0, "x;".into())));
         assert_eq!(
@@ -150,12 +153,18 @@
         );
         assert_eq!(post.next(210.0, 10.0), None);
         assert!(post.items.is_empty());
+        // Nor does it fill a note: one item of 100 bytes is late by the time the third comes.
+        let item = "x".repeat(100);
+        for (now, until) in [(300.0, 310.0), (300.0, 900.0), (320.0, 900.0)] {
+            assert_eq!(post.put(now, 1, (now, until), item.clone()), None);
+        }
+        assert_eq!(post.put(330.0, 1, (330.0, 900.0), item.clone()).map(|t| t.len()), Some(200));
     }
 
     #[test]
     fn a_note_that_is_not_due_waits() {
         let mut post = Post::default();
-        post.put(1, 500.0, f64::INFINITY, "x".into());
+        post.put(0.0, 1, (500.0, f64::INFINITY), "x".into());
         assert_eq!(post.next(499.0, 50.0), None);
         assert_eq!(post.next(500.0, 50.0), Some((1, "x".into())));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,9 +31,9 @@
     /// What this gateway has out, and the most where each has places of its own.
     pub open: u32,
     pub slots: u32,
-    /// At its keeper: the keeper's part of the ceiling, as of `at`; whether it was last asked by one that holds a slice.
+    /// At its keeper: the keeper's part of the ceiling, as of `at`; whether all that asked hold no slices, once one has.
     pub kept: Store,
-    pub sliced: bool,
+    pub whole: Option<bool>,
     /// This gateway's slices of the ceiling and of the quota, as of `slice_at`; its own demand is too.
     pub ceiling: Store,
     pub slice: f64,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -292,18 +292,24 @@
     assert!(passed >= 14, "{passed} sent at once");
 }
 
+/// A plan with a ceiling of 20 units a second and 40 at once.
+fn ceiled(rate: f64, slack: f64) -> Plan {
+    Plan {
+        rate,
+        burst: 2.0 * rate,
+        price: 1.0,
+        ceiling_rate: 20.0,
+        ceiling_burst: 40.0,
+        ceiling_slack: slack,
+        ..Plan::default()
+    }
+}
+
 /// A life's shares fill from its start. Counted from a customer's first request on, a keeper that had been up for a minute
 /// turned the first large request of every shop away.
 #[test]
 fn a_ceiling_fills_from_the_start_of_a_life_for_who_comes_later_too() {
-    let plan = Plan {
-        rate: 10.0,
-        burst: 20.0,
-        ceiling_rate: 20.0,
-        ceiling_burst: 40.0,
-        ..settings().plans[0].clone()
-    };
-    let cfg = Settings { gateways: 2, plans: vec![plan], largest: 4.0, ..settings() };
+    let cfg = Settings { gateways: 2, plans: vec![ceiled(10.0, 0.0)], largest: 4.0, ..settings() };
     let large = |id: u64, now: f64| {
         let Event::Request(r) = ask(id, 0, 0, now) else { unreachable!("a request") };
         Event::Request(Request { units: 4.0, ..r })
@@ -324,14 +330,7 @@
 /// What a record restores says what is there now; nothing that would have filled since the start comes on top.
 #[test]
 fn a_restored_slice_is_not_filled_from_the_start_of_the_life() {
-    let plan = Plan {
-        ceiling_rate: 20.0,
-        ceiling_burst: 40.0,
-        ceiling_slack: 4.0,
-        rate: 0.0,
-        ..settings().plans[0].clone()
-    };
-    let cfg = Settings { gateways: 2, plans: vec![plan], ..settings() };
+    let cfg = Settings { gateways: 2, plans: vec![ceiled(0.0, 4.0)], ..settings() };
     let mut former = gateway(cfg.clone());
     former.handle(0.0, ask(1, 0, 0, 0.0));
     let (levels, _) = former.levels(0, 256);
@@ -343,20 +342,66 @@
     assert_eq!(passed, 2, "as much as was restored");
 }
 
+/// A quota's store that was restored is as it was said to be, however long the life had lasted by then.
+#[test]
+fn a_restored_store_is_not_filled_from_the_start_of_the_life() {
+    let mut former = gateway(Settings { gateways: 2, ..settings() });
+    former.handle(0.0, ask(1, 0, 1, 0.0));
+    let (levels, _) = former.levels(0, 256);
+    let mut g = gateway(Settings { gateways: 2, ..settings() });
+    g.handle(0.0, Event::Timer { token: 1 });
+    g.handle(5000.0, Event::Restore(vec![Level { store: 1.0, ..levels[0] }]));
+    let passed = (0..10u64).filter(|k| serve(&mut g, *k, 0, 1, 5000.0)).count();
+    assert_eq!(passed, 1, "two a second from the start on would have filled it");
+}
+
+/// How many of 40 questions by notes a keeper grants 1 s into its life; `before` comes to it first.
+fn granted_after(before: Option<&str>, whole: bool) -> usize {
+    let mut g = gateway(Settings { gateways: 3, plans: vec![ceiled(100.0, 0.0)], ..settings() });
+    g.handle(0.0, Event::Timer { token: 1 });
+    let mut answers = String::new();
+    let mut hear = |g: &mut Control, now: f64, text: String| {
+        for action in g.handle(now, Event::Note { from: 1, text }) {
+            if let Action::Tell { text, .. } = action {
+                answers.push_str(&text);
+            }
+        }
+    };
+    if let Some(text) = before {
+        hear(&mut g, 500.0, text.into());
+    }
+    let flag = if whole { ",w" } else { "" };
+    for k in 0..40 {
+        hear(&mut g, 1000.0 + f64::from(k) * 1e-3, format!("a,77,0,{:x},1.0,0.0,1.0,400{flag};", k + 1));
+    }
+    g.handle(1500.0, Event::Timer { token: 1 }).iter().for_each(|a| {
+        if let Action::Tell { text, .. } = a {
+            answers.push_str(text);
+        }
+    });
+    answers.split(';').filter(|item| item.starts_with("g,77,1,")).count()
+}
+
+/// The keeper deals out what slices would hold only where it was asked, and by nobody who holds one: told of a customer or
+/// asked otherwise first, it goes by the smaller part.
+#[test]
+fn a_keeper_holds_the_slices_part_only_where_all_that_asked_hold_none() {
+    let (small, large) = (granted_after(None, false), granted_after(None, true));
+    assert!((16..=17).contains(&small) && large == 18, "{small} of 17 and {large} of 18.4 units");
+    assert_eq!(
+        granted_after(Some("a,77,0,99,90.0,0.0,1.0,400;"), true),
+        small,
+        "one that asked holds a slice"
+    );
+    let told = granted_after(Some("t,77,0,,0.0;"), true);
+    assert!(told < large, "{told}: until it is asked it fills by the smaller part");
+}
+
 /// Each gateway of a set of eight has an eighth of the ceiling: slices alone would turn away most of what comes through
 /// one of them with the ceiling hardly touched.
 #[test]
 fn a_granted_request_needs_no_slice_of_the_ceiling() {
-    let plan = Plan {
-        rate: 10.0,
-        burst: 20.0,
-        price: 1.0,
-        ceiling_rate: 20.0,
-        ceiling_burst: 40.0,
-        ceiling_slack: 4.0,
-        ..Plan::default()
-    };
-    let cfg = Settings { gateways: 8, plans: vec![plan], ..settings() };
+    let cfg = Settings { gateways: 8, plans: vec![ceiled(10.0, 4.0)], ..settings() };
     let asks = |id: u64, first: u32, now: f64| {
         let Event::Request(r) = ask(id, 0, 0, now) else { unreachable!("a request") };
         Event::Request(Request { first, spread: 8, units: 2.0, ..r })
