--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -593,6 +593,21 @@
                 within("fault.times", f.times, 0.001, 1e6)?;
             }
         }
+        let e = &self.expect;
+        let parts = [
+            ("served_least", e.served_least),
+            ("second_least", e.second_least),
+            ("sick_most", e.sick_most),
+            ("turned_away_most", e.turned_away_most),
+        ];
+        for (name, part) in parts {
+            within(&format!("expect.{name}"), part.unwrap_or(0.0), 0.0, 1.0)?;
+        }
+        for (name, most) in [("notes_most", e.notes_most), ("handshakes_most", e.handshakes_most)] {
+            within(&format!("expect.{name}"), most.unwrap_or(0.0), 0.0, 1e6)?;
+        }
+        within("expect.after_s", e.after_s, 0.0, SECONDS_MOST)?;
+        within("expect.back_most_s", e.back_most_s.unwrap_or(0.0), 0.0, SECONDS_MOST)?;
         for (name, most) in &self.expect.over_most {
             within(&format!("expect.over_most.{name}"), *most, 0.0, 1.0)?;
             if !self.plans.iter().any(|p| p.name == *name) {
@@ -657,6 +672,22 @@
                 "name = \"x\"\nseconds = 1\n[[fault]]\nkind = \"slow\"\nat_s = 1\ntimes = 0",
                 "fault.times is 0",
             ),
+            (
+                "name = \"x\"\nseconds = 1\n[expect]\nserved_least = 2",
+                "expect.served_least is 2, it may be 0 to 1",
+            ),
+            ("name = \"x\"\nseconds = 1\n[expect]\nhandshakes_most = -1", "expect.handshakes_most is -1"),
+            ("name = \"x\"\nseconds = 1\n[expect]\nback_most_s = nan", "expect.back_most_s is NaN"),
+            (
+                "name = \"x\"\nseconds = 1\n[servers]\nidle_ms = 0",
+                "servers.idle_ms is 0, it may be 1 to 600000",
+            ),
+            ("name = \"x\"\nseconds = 1\n[servers]\nconnections = -1", "connections"),
+            ("name = \"x\"\nseconds = 1\n[discovery]\nknown_s = -2", "discovery.known_s is -2"),
+            (
+                "name = \"x\"\nseconds = 1\n[gatekeepers]\ndown_s = 0",
+                "gatekeepers.down_s is 0, it may be 0.001 to 3600",
+            ),
             ("name = \"x\"\nseconds = 1\n[expect.over_most]\nnobody = 0.1", "no plan has this name"),
         ] {
             let said = Scenario::parse(text).expect_err(text);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -502,29 +502,33 @@
             self.queue.put(now, Ev::Answer { id, attempt, ending: Ending::Moot, holds: None });
             return;
         }
-        if !self.servers[number as usize].up() {
-            self.queue.put(now + hop, Ev::Whole { id, attempt });
-            self.queue.put(not_past, Ev::Deadline { id, attempt });
-            return;
-        }
-        let (way, life) = self.conns.take(now, k, number);
-        if way != Way::Kept {
-            self.herds.seen(now, Act::Handshake, k, number);
-            self.tally.handshake(now, way == Way::TurnedAway);
-        }
+        // A dead server takes no connection: that shows when the attempt comes there.
+        let way = if self.servers[number as usize].up() { self.connect(id, k, number) } else { Way::Kept };
         if way == Way::TurnedAway {
             let back = self.hop();
             self.queue.put(now + hop + back, Ev::Answer { id, attempt, ending: Ending::Full, holds: None });
             return;
         }
-        if let Some(out) = self.tries.get_mut(&id).and_then(|t| t.out.as_mut()) {
-            out.connected = Some(life);
-        }
         let comes_up = if way == Way::New { self.scenario.servers.handshake_ms } else { 0.0 };
         self.queue.put(now + comes_up + hop, Ev::Whole { id, attempt });
         self.queue.put(not_past, Ev::Deadline { id, attempt });
     }
 
+    /// An attempt needs a connection to a server that is up.
+    fn connect(&mut self, id: u64, k: u32, server: u32) -> Way {
+        let (way, life) = self.conns.take(self.now, k, server);
+        if way != Way::Kept {
+            self.herds.seen(self.now, Act::Handshake, k, server);
+            self.tally.handshake(self.now, way == Way::TurnedAway);
+        }
+        if way != Way::TurnedAway
+            && let Some(out) = self.tries.get_mut(&id).and_then(|t| t.out.as_mut())
+        {
+            out.connected = Some(life);
+        }
+        way
+    }
+
     fn attempt_out(&self, id: u64, attempt: u32) -> Option<&Out> {
         self.tries.get(&id)?.out.as_ref().filter(|o| o.attempt == attempt)
     }
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the whole list once, then a watch that is opened again whenever it ends or falls silent.
 
+use crate::backoff::Backoff;
 use crate::gateway::Shared;
 use crate::listing::listed;
 use http_body_util::{BodyExt, Empty};
@@ -18,14 +19,17 @@
 const CALL: Duration = Duration::from_secs(1);
 /// An empty line comes every 2 s. After two that are missing the watch is dead, whatever TCP thinks.
 const QUIET: Duration = Duration::from_secs(5);
-const BACKOFF_LEAST: Duration = Duration::from_millis(100);
-const BACKOFF_MOST: Duration = Duration::from_secs(1);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
 
 /// Follows discovery for as long as the process lives. `rev` is the version of the list at hand. At a new
 /// address all begins anew: versions are its own, and what is on its way from the old one is dropped.
-pub async fn follow(gateway: Shared, mut at: watch::Receiver<SocketAddr>, mut rev: Option<u64>) {
+pub async fn follow(
+    gateway: Shared,
+    mut at: watch::Receiver<SocketAddr>,
+    mut rev: Option<u64>,
+    mut backoff: Backoff,
+) {
     loop {
         let address = *at.borrow_and_update();
         tokio::select! {
@@ -35,21 +39,22 @@
                     return;
                 }
             }
-            () = follow_one(&gateway, address, rev.take()) => {}
+            () = follow_one(&gateway, address, rev.take(), &mut backoff) => {}
         }
     }
 }
 
 /// Follows discovery at one address without end.
-async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>) {
-    let mut backoff = BACKOFF_LEAST;
+async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>, backoff: &mut Backoff) {
+    backoff.reset();
     let mut whole = false;
     let mut complained = false;
     loop {
         let mut heard = false;
         let ended = session(gateway, address, &mut rev, &mut whole, &mut heard).await;
         if heard {
-            (backoff, complained) = (BACKOFF_LEAST, false);
+            backoff.reset();
+            complained = false;
         }
         if let Err(e) = ended
             && !complained
@@ -57,8 +62,7 @@
             complained = true;
             tracing::warn!("discovery at {address}: {e}; trying again");
         }
-        sleep(backoff).await;
-        backoff = (backoff * 2).min(BACKOFF_MOST);
+        sleep(Duration::from_secs_f64(backoff.pause() / 1000.0)).await;
     }
 }
 
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -2,6 +2,7 @@
 //! Start, signals and shutdown.
 
 mod ask;
+mod backoff;
 mod budget;
 mod clients;
 mod config;
@@ -139,7 +140,9 @@
             frostvale_log::turn();
         }
     });
-    spawn_local(discovery::follow(gateway.clone(), discovery, rev));
+    // Gatekeepers may have been given one seed.
+    let backoff = backoff::Backoff::new(seed ^ u64::from(me) << 32);
+    spawn_local(discovery::follow(gateway.clone(), discovery, rev, backoff));
     let reloaded = gateway.clone();
     let mut outside = extra.outside;
     spawn_local(async move {
