Have one of many ask a silent keeper once more, within a budget, and be charged once

Answers take 25 to 100 ms, none longer, so there is time for a second question.

At fault: Control::on_waited decides on one lost note. Now the question goes again at half of the wait (0.4 of the aim, half of it for the first), one in five questions at the most; the keeper remembers what it said of a question for 2 s (src/recent.rs) and charges it once, and the asker passes over a second answer, which would have given units back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -13,6 +13,7 @@
 use crate::lots::Lots;
 use crate::note::{Item, keeper_at, key_of};
 use crate::post::Post;
+use crate::recent::Recent;
 use crate::roster::Roster;
 use crate::rumors::{MARK, Rumors};
 use crate::state::*;
@@ -37,6 +38,13 @@
 const FADE_MS: f64 = 2000.0;
 /// A keeper's silence past this part of the request's aim means that it is stalled or gone.
 const ASK_PART: f64 = 0.3;
+/// The same at one of many gateways, which asks twice, at half of that time again: it hears of most customers
+/// from nobody else, and a note each way is lost for one question in seven.
+const ASK_PART_MANY: f64 = 0.4;
+/// Questions put once more that each question earns, and the most saved up: where notes are lost as the
+/// intakes are full, twice as many would lose all the more.
+const AGAIN_PART: f64 = 0.2;
+const AGAIN_MOST: f64 = 5.0;
 /// What a keeper said holds for so long at one of many gateways, which hears of a customer seldom. Of one
 /// not heard of it sends nothing on past a silent keeper: each slice of a large set is too small for one
 /// request, and all add up.
@@ -101,6 +109,10 @@
     held: Hands,
     waits: Waits,
     asks: u64,
+    /// At a keeper its words on questions of late; elsewhere those asked twice, and whether one was answered.
+    said: Recent<(u64, u32, u64), (Word, f64)>,
+    twice: Recent<u64, bool>,
+    may_repeat: f64,
     fleet: Fleet,
     tier_of: Vec<Vec<usize>>,
     window: Window,
@@ -143,6 +155,9 @@
             held: Hands::default(),
             waits: Waits::default(),
             asks: 0,
+            said: Recent::default(),
+            twice: Recent::default(),
+            may_repeat: AGAIN_MOST,
             post: Post::default(),
             fleet: Fleet { class_pace: vec![0.0; cfg.classes.len()], ..Fleet::default() },
             tier_of,
@@ -300,13 +315,15 @@
         let number = self.asks;
         let whole = deal.whole(&plan, n);
         // A question for a place may wait in its line; no other is of use once its asker has gone on.
-        let asks = (ASK_PART * aim).min(most / 2.0);
+        let asks = if many { (ASK_PART_MANY * aim).min(most) } else { (ASK_PART * aim).min(most / 2.0) };
         let until = now + if shared { most } else { asks };
         let ask = Ask { from: me, number, units, extra: 0.0, shared, whole, until };
         let place = Some(number);
         let Some(c) = self.customers.get_mut(&key) else { return };
         let (until, queued) = (now + most, true);
-        let mut job = Job { request, check, key, keeper, tier, arrived: now, number, place, until, queued };
+        let again = None;
+        let mut job =
+            Job { request, check, key, keeper, tier, arrived: now, number, place, until, queued, again };
         if keeper == me {
             return match self.asked(key, name, ask, if check { weight } else { units }).0 {
                 Word::Grant => self.admit(job),
@@ -319,13 +336,15 @@
             let ask = Ask { units: if ample { 0.0 } else { units }, extra, ..ask };
             c.untold = 0.0;
             c.asked_at = if extra > 0.0 { now } else { c.asked_at };
+            job.again = (many && !ample).then_some((ask, weight));
+            self.may_repeat = (self.may_repeat + AGAIN_PART).min(AGAIN_MOST);
             self.note(keeper, key, (0.0, ask.until), Item::Ask { plan: name, ask, weight });
         }
         if ample {
             job.place = None;
             return self.admit(job);
         }
-        job.until = now + if self.cfg.notes { asks } else { 0.0 };
+        job.until = now + if self.cfg.notes { asks } else { 0.0 } * if many { 0.5 } else { 1.0 };
         (job.queued, job.place) = (false, None);
         self.wait(job);
     }
@@ -487,7 +506,15 @@
         if self.waits.get(number).is_none_or(|w| self.now + 0.1 < w.until) {
             return;
         }
-        let Some(w) = self.waits.remove(number) else { return };
+        let Some(mut w) = self.waits.remove(number) else { return };
+        // Without a second question a longer wait would only make late what goes on all the same.
+        if let Some((ask, weight)) = w.again.take().filter(|_| self.may_repeat >= 1.0) {
+            self.may_repeat -= 1.0;
+            self.twice.put(self.now, number, false);
+            self.note(w.keeper, w.key, (0.0, ask.until), Item::Ask { plan: w.request.plan, ask, weight });
+            w.until += w.until - w.arrived;
+            return self.wait(w);
+        }
         let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
         let open = if w.check { 0.0 } else { open };
         let lot = self.rng.random::<f64>();
@@ -669,12 +696,21 @@
         }
         let Some(c) = self.customers.get(&key) else { return };
         let (Ask { from, number, .. }, demand, granted, level) = (*ask, c.demand, c.granted, c.level);
+        if self.many() {
+            self.said.put(self.now, (key, from, number), (word, units));
+        }
         // A refusal comes too late for nobody's good; a grant that does is given back.
         let until = if word == Word::Deny { ask.until } else { f64::INFINITY };
         self.note(from, key, (0.0, until), Item::Answer { number, word, units, demand, granted, level });
     }
 
     fn answered(&mut self, key: u64, keeper: u32, number: u64, word: Word, units: f64) {
+        // Asked twice, it was granted once: a second answer says the same, but for a grant after a wait.
+        match self.twice.get(self.now, number) {
+            Some(true) => return,
+            Some(_) => self.twice.put(self.now, number, word != Word::Wait),
+            None => {}
+        }
         match (self.waits.remove(number), word) {
             (Some(w), Word::Grant) => {
                 self.spare(key, keeper, units - w.request.units, None);
@@ -1015,7 +1051,8 @@
         for (key, item) in text.split(';').filter_map(|t| Item::read(t, from, now)) {
             match item {
                 Item::Ask { plan, ask, weight } if plan < self.cfg.plans.len() => {
-                    let (word, units) = self.asked(key, plan, ask, weight);
+                    let said = self.said.get(now, (key, from, ask.number));
+                    let (word, units) = said.unwrap_or_else(|| self.asked(key, plan, ask, weight));
                     self.answer(key, &ask, word, units);
                 }
                 Item::Tell { plan, units, place } if plan < self.cfg.plans.len() => {
--- a/src/hands.rs
+++ b/src/hands.rs
@@ -106,6 +106,7 @@
             place: None,
             until: 0.0,
             queued: false,
+            again: None,
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,4 +105,6 @@
     pub place: Option<u64>,
     pub until: f64,
     pub queued: bool,
+    /// The question as it was put and the demand told with it, until it has been put once more.
+    pub again: Option<(Ask, f64)>,
 }
