Keep to connections at rest whatever the size of the fleet, and look around for one in ten

At fault: Control::best_of took one in ten of the servers without a connection in beside those with one. Of 180 servers that is 17 new ones beside some ten known, and the first two with room are compared. Ruled out: idle connections closed too soon ('0 closed as idle').

Now nine requests of ten look at servers with a connection at rest alone, and at all where these have no room; cold servers, with which nobody has one, are looked at beside by one in ten: without that a cold one got 5 of the 20 to 30 attempts it bears (hundreds_of_gateways_together_keep_a_cold_server_within_its_budget).

--- a/src/control.rs
+++ b/src/control.rs
@@ -83,8 +83,8 @@
 const COLD_TIMES: f64 = 1.5;
 /// After so many answers one of many gateways goes by how long they took.
 const LEARNED: f64 = 10.0;
-/// One of many gateways passes over most servers to which it has no connection at rest; these last about
-/// so long.
+/// One of many gateways looks at servers to which it has no connection at rest for so many of its requests;
+/// these last about so long.
 const NEW_PART: f64 = 0.1;
 const RESTS_MS: f64 = 10_000.0;
 /// With many gateways, cold servers need no gap while the fleet's mean warmth is above this.
@@ -784,14 +784,15 @@
     /// take longer than `most`, in the given group, not the one to avoid. With few gateways each
     /// knows every server and looks at all of them; with many, all would run after the same few.
     fn choose(&mut self, want: Want) -> Option<Name> {
-        // Each of many meets a server seldom: a new connection each time would cost more than it gains.
-        let kept = self.many() && want.group.is_none();
-        let at_rest = kept.then(|| self.best_of(want, NEW_PART)).flatten();
-        at_rest.or_else(|| self.best_of(want, 1.0))
+        // Each of many meets a server seldom: a new connection each time would cost more than it gains. With
+        // a part of the others looked at beside, of a large fleet most of what was seen was new.
+        let kept = self.many() && want.group.is_none() && self.rng.random::<f64>() >= NEW_PART;
+        let at_rest = kept.then(|| self.best_of(want, true)).flatten();
+        at_rest.or_else(|| self.best_of(want, false))
     }
 
-    /// The same of those with a connection at rest, and of a part of the others.
-    fn best_of(&mut self, want: Want, others: f64) -> Option<Name> {
+    /// The same, if so wanted of those with a connection at rest alone.
+    fn best_of(&mut self, want: Want, at_rest: bool) -> Option<Name> {
         let Want { class, most, group, avoid } = want;
         let drawn = self.servers.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
@@ -818,7 +819,9 @@
                 continue;
             }
             let rests = s.out.is_empty() && s.rested_at > self.now - RESTS_MS;
-            if others < 1.0 && !rests && self.rng.random::<f64>() >= others {
+            // A cold one has no connection with anybody yet, and is drawn by its part beside.
+            let new = warmth < 1.0 && self.rng.random::<f64>() < NEW_PART;
+            if at_rest && !rests && !new {
                 continue;
             }
             let ill = self.rumors.of(self.now, &s.name);
