Give each life question numbers of its own, and move questions out of the control

Numbers now begin at a point drawn from the life's seed. - A gatekeeper that floods all with notes to all would have silenced everybody else for 66 ms a note beyond the budget, without end; it counts as a second's at the most (Rumors::aired). - A lot was drawn for each cold server in small tiers too, where nothing uses it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -5,6 +5,8 @@
 //! max(0, (requests - K accepts) / (requests + 1)), counted per tier over a sliding window, after
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
+mod lives;
+
 use crate::api::*;
 use crate::ceiling::{Dealing, Store};
 use crate::estimate::{ALIKE_PEERS, SIDE_BY_SIDE, Seen, View};
@@ -13,7 +15,7 @@
 use crate::lots::Lots;
 use crate::note::{Item, keeper_at, key_of};
 use crate::post::Post;
-use crate::recent::Recent;
+use crate::questions::Questions;
 use crate::roster::Roster;
 use crate::rumors::{MARK, Rumors};
 use crate::state::*;
@@ -41,10 +43,6 @@
 /// The same at one of many gateways, which asks twice, at half of that time again: it hears of most customers
 /// from nobody else, and a note each way is lost for one question in seven.
 const ASK_PART_MANY: f64 = 0.4;
-/// Questions put once more that each question earns, and the most saved up: where notes are lost as the
-/// intakes are full, twice as many would lose all the more.
-const AGAIN_PART: f64 = 0.2;
-const AGAIN_MOST: f64 = 5.0;
 /// What a keeper said holds for so long at one of many gateways, which hears of a customer seldom. Of one
 /// not heard of it sends nothing on past a silent keeper: each slice of a large set is too small for one
 /// request, and all add up.
@@ -83,8 +81,8 @@
 const COLD_TIMES: f64 = 1.5;
 /// After so many answers one of many gateways goes by how long they took.
 const LEARNED: f64 = 10.0;
-/// One of many gateways looks at servers to which it has no connection at rest for so many of its requests;
-/// these last about so long.
+/// One of many gateways looks at servers to which it has no connection at rest for so many of its requests,
+/// and at so many of the cold ones for each; connections last about so long.
 const NEW_PART: f64 = 0.1;
 const RESTS_MS: f64 = 10_000.0;
 /// With many gateways, cold servers need no gap while the fleet's mean warmth is above this.
@@ -108,11 +106,7 @@
     rumors: Rumors,
     held: Hands,
     waits: Waits,
-    asks: u64,
-    /// At a keeper its words on questions of late; elsewhere those asked twice, and whether one was answered.
-    said: Recent<(u64, u32, u64), (Word, f64)>,
-    twice: Recent<u64, bool>,
-    may_repeat: f64,
+    questions: Questions,
     fleet: Fleet,
     tier_of: Vec<Vec<usize>>,
     window: Window,
@@ -154,10 +148,7 @@
             rumors: Rumors::new((cfg.me, cfg.gateways), if many { rumor_rate(&cfg) } else { 0.0 }, seed),
             held: Hands::default(),
             waits: Waits::default(),
-            asks: 0,
-            said: Recent::default(),
-            twice: Recent::default(),
-            may_repeat: AGAIN_MOST,
+            questions: Questions::new(seed),
             post: Post::default(),
             fleet: Fleet { class_pace: vec![0.0; cfg.classes.len()], ..Fleet::default() },
             tier_of,
@@ -311,8 +302,7 @@
         }
         // A repeat may have little of its client's time left: never wait past half of it.
         let most = (WAIT * aim).min((request.give_up - now).max(0.0) / 2.0);
-        self.asks += 1;
-        let number = self.asks;
+        let number = self.questions.fresh();
         let whole = deal.whole(&plan, n);
         // A question for a place may wait in its line; no other is of use once its asker has gone on.
         let asks = if many { (ASK_PART_MANY * aim).min(most) } else { (ASK_PART * aim).min(most / 2.0) };
@@ -337,14 +327,18 @@
             c.untold = 0.0;
             c.asked_at = if extra > 0.0 { now } else { c.asked_at };
             job.again = (many && !ample).then_some((ask, weight));
-            self.may_repeat = (self.may_repeat + AGAIN_PART).min(AGAIN_MOST);
+            self.questions.put();
             self.note(keeper, key, (0.0, ask.until), Item::Ask { plan: name, ask, weight });
         }
         if ample {
             job.place = None;
             return self.admit(job);
         }
-        job.until = now + if self.cfg.notes { asks } else { 0.0 } * if many { 0.5 } else { 1.0 };
+        job.until = match (self.cfg.notes, many) {
+            (false, _) => now,
+            (true, true) => now + asks / 2.0,
+            (true, false) => now + asks,
+        };
         (job.queued, job.place) = (false, None);
         self.wait(job);
     }
@@ -433,47 +427,6 @@
         self.tell(key, keeper, request.plan, -request.units, None);
     }
 
-    // ---- what outlives this life ----
-
-    /// Plans that can't be acted on change nothing, nor does another number of them.
-    fn on_plans(&mut self, plans: Vec<Plan>) {
-        let fresh = Settings { plans, ..self.cfg.clone() };
-        if fresh.plans.len() == self.cfg.plans.len() && fresh.check().is_ok() {
-            self.cfg = fresh;
-        }
-    }
-
-    /// Customers not seen in this life get what may be used of the former one; of others no store grows.
-    fn on_restore(&mut self, levels: &[Level]) {
-        let (plans, now) = (self.cfg.plans.len(), self.now);
-        for l in levels.iter().filter(|l| l.plan < plans) {
-            let known = self.customers.contains_key(&l.key);
-            self.customer(l.key, l.plan);
-            // What has filled since the start is in what is restored.
-            self.refill(l.key);
-            let Some(c) = self.customers.get_mut(&l.key) else { continue };
-            (c.level, c.slice) = (c.level.min(l.store), c.slice.min(l.store));
-            if !known {
-                (c.ceiling, c.slice_at) = (Store::new(l.ceiling), now);
-            }
-        }
-    }
-
-    /// What stores hold, of so many parts of the customers from this one on, and the part to go on from, none
-    /// at the end. A part has 256 at the most.
-    #[must_use]
-    pub fn levels(&self, part: usize, most: usize) -> (Vec<Level>, Option<usize>) {
-        let level = |(key, c): (u64, &Customer)| {
-            let plan = c.plan as usize;
-            let (p, parts) = (&self.cfg.plans[plan], f64::from(self.keepers(plan)));
-            let filled = c.level + p.rate / parts * (self.now - c.at) / 1000.0;
-            let store = filled.min(p.burst / parts);
-            Level { key, plan, store, ceiling: c.ceiling.level(), seen: c.seen }
-        };
-        let all = (part..part + most).map_while(|k| self.customers.part(k)).flatten().map(level).collect();
-        (all, self.customers.part(part + most).map(|_| part + most))
-    }
-
     fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
         let p = &self.cfg.plans[plan];
         let (now, credit) = (self.now, self.rng.random::<f64>());
@@ -508,9 +461,7 @@
         }
         let Some(mut w) = self.waits.remove(number) else { return };
         // Without a second question a longer wait would only make late what goes on all the same.
-        if let Some((ask, weight)) = w.again.take().filter(|_| self.may_repeat >= 1.0) {
-            self.may_repeat -= 1.0;
-            self.twice.put(self.now, number, false);
+        if let Some((ask, weight)) = w.again.take().filter(|_| self.questions.again(self.now, number)) {
             self.note(w.keeper, w.key, (0.0, ask.until), Item::Ask { plan: w.request.plan, ask, weight });
             w.until += w.until - w.arrived;
             return self.wait(w);
@@ -697,7 +648,7 @@
         let Some(c) = self.customers.get(&key) else { return };
         let (Ask { from, number, .. }, demand, granted, level) = (*ask, c.demand, c.granted, c.level);
         if self.many() {
-            self.said.put(self.now, (key, from, number), (word, units));
+            self.questions.say(self.now, (key, from, number), word, units);
         }
         // A refusal comes too late for nobody's good; a grant that does is given back.
         let until = if word == Word::Deny { ask.until } else { f64::INFINITY };
@@ -705,11 +656,8 @@
     }
 
     fn answered(&mut self, key: u64, keeper: u32, number: u64, word: Word, units: f64) {
-        // Asked twice, it was granted once: a second answer says the same, but for a grant after a wait.
-        match self.twice.get(self.now, number) {
-            Some(true) => return,
-            Some(_) => self.twice.put(self.now, number, word != Word::Wait),
-            None => {}
+        if !self.questions.news(self.now, number, word) {
+            return;
         }
         match (self.waits.remove(number), word) {
             (Some(w), Word::Grant) => {
@@ -819,9 +767,8 @@
                 continue;
             }
             let rests = s.out.is_empty() && s.rested_at > self.now - RESTS_MS;
-            // A cold one has no connection with anybody yet, and is drawn by its part beside.
-            let new = warmth < 1.0 && self.rng.random::<f64>() < NEW_PART;
-            if at_rest && !rests && !new {
+            // With a cold one nobody has a connection yet: it is drawn beside, by its part.
+            if at_rest && !rests && (warmth >= 1.0 || self.rng.random::<f64>() >= NEW_PART) {
                 continue;
             }
             let ill = self.rumors.of(self.now, &s.name);
@@ -1054,7 +1001,7 @@
         for (key, item) in text.split(';').filter_map(|t| Item::read(t, from, now)) {
             match item {
                 Item::Ask { plan, ask, weight } if plan < self.cfg.plans.len() => {
-                    let said = self.said.get(now, (key, from, ask.number));
+                    let said = self.questions.said(now, (key, from, ask.number));
                     let (word, units) = said.unwrap_or_else(|| self.asked(key, plan, ask, weight));
                     self.answer(key, &ask, word, units);
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 mod lots;
 mod note;
 mod post;
+mod questions;
 mod recent;
 mod roster;
 mod rumors;
--- /dev/null
+++ b/src/questions.rs
@@ -0,0 +1,118 @@
+//! Questions to keepers: their numbers, which of them may be put once more, and what was said of each, so that one that comes
+//! twice is charged once and answered alike. Whether and when one is put is decided elsewhere.
+
+use crate::recent::Recent;
+use crate::state::Word;
+
+/// Questions put once more that each question earns, and the most saved up: where notes are lost as the intakes are full,
+/// twice as many would lose all the more.
+const AGAIN_PART: f64 = 0.2;
+const AGAIN_MOST: f64 = 5.0;
+
+/// A question at its keeper: the customer's key, who asks, and the asker's number for it.
+pub(crate) type Asked = (u64, u32, u64);
+
+/// One gateway's questions, and those it was asked.
+pub(crate) struct Questions {
+    last: u64,
+    budget: f64,
+    /// Those put once more, and whether the word that ends one has been heard.
+    twice: Recent<u64, bool>,
+    /// As a keeper: the word on each, and the units granted.
+    said: Recent<Asked, (Word, f64)>,
+}
+
+impl Questions {
+    /// Numbers begin at a point of the life's own: a life that follows soon must not be taken for the one before it, whose
+    /// answers may still be on their way.
+    pub fn new(seed: u64) -> Questions {
+        Questions {
+            last: seed & 0xffff,
+            budget: AGAIN_MOST,
+            twice: Recent::default(),
+            said: Recent::default(),
+        }
+    }
+
+    /// The number of the next one.
+    pub fn fresh(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// One has been put for the first time.
+    pub fn put(&mut self) {
+        self.budget = (self.budget + AGAIN_PART).min(AGAIN_MOST);
+    }
+
+    /// Whether one may be put once more, which then counts.
+    pub fn again(&mut self, now: f64, number: u64) -> bool {
+        let may = self.budget >= 1.0;
+        if may {
+            self.budget -= 1.0;
+            self.twice.put(now, number, false);
+        }
+        may
+    }
+
+    /// Whether a word on one is news. Of one put twice the second answer says the same as the first, but for the word that
+    /// ends a wait.
+    pub fn news(&mut self, now: f64, number: u64, word: Word) -> bool {
+        let heard = self.twice.get(now, number);
+        if heard == Some(false) && word != Word::Wait {
+            self.twice.put(now, number, true);
+        }
+        heard != Some(true)
+    }
+
+    /// As a keeper: what was last said of this one.
+    pub fn said(&mut self, now: f64, asked: Asked) -> Option<(Word, f64)> {
+        self.said.get(now, asked)
+    }
+
+    /// As a keeper: this is said of one.
+    pub fn say(&mut self, now: f64, asked: Asked, word: Word, units: f64) {
+        self.said.put(now, asked, (word, units));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn of_two_answers_the_first_is_news_and_the_end_of_a_wait_is() {
+        let mut q = Questions::new(0);
+        let words = |q: &mut Questions, number, all: &[Word]| -> Vec<bool> {
+            all.iter().map(|word| q.news(100.0, number, *word)).collect()
+        };
+        let number = q.fresh();
+        assert!(q.again(80.0, number));
+        assert_eq!(words(&mut q, number, &[Word::Grant, Word::Grant]), [true, false]);
+        let number = q.fresh();
+        assert!(q.again(80.0, number));
+        // The copy of "wait" comes after the grant that ends it.
+        let all = [Word::Wait, Word::Grant, Word::Wait, Word::Grant];
+        assert_eq!(words(&mut q, number, &all), [true, true, false, false]);
+        // One put once is none of its business.
+        let number = q.fresh();
+        assert_eq!(words(&mut q, number, &[Word::Deny, Word::Grant]), [true, true]);
+    }
+
+    proptest! {
+        /// In any stretch no more go again than a part of those put, and what was saved up.
+        #[test]
+        fn again_stays_within_its_part(seed: u64, tries in prop::collection::vec(any::<bool>(), 1..300)) {
+            let mut q = Questions::new(seed);
+            let (mut put, mut again) = (0.0, 0.0);
+            for (k, silent) in tries.into_iter().enumerate() {
+                let number = q.fresh();
+                q.put();
+                put += 1.0;
+                again += f64::from(u8::from(silent && q.again(k as f64 * 10.0, number)));
+                prop_assert!(again <= AGAIN_MOST + AGAIN_PART * put + 1e-6);
+            }
+        }
+    }
+}
--- a/src/recent.rs
+++ b/src/recent.rs
@@ -37,11 +37,12 @@
         self.known.get(&key).copied()
     }
 
-    /// Keeps what is said of this. What was said of it before gives way, and its life goes on from then.
+    /// Keeps what is said of this for the rest of its life, which begins with the first word on it.
     pub fn put(&mut self, now: f64, key: K, said: V) {
         self.age(now);
         if self.known.insert(key, said).is_none() {
             self.order.push_back((now, key));
+            self.age(now);
         }
     }
 }
@@ -72,7 +73,7 @@
     fn a_flood_of_keys_stays_within_the_bound() {
         let mut recent = Recent::default();
         (0..100_000u32).for_each(|k| recent.put(f64::from(k) * 0.001, k, ()));
-        assert!(recent.known.len() <= MOST + 1 && recent.order.len() <= MOST + 1);
+        assert_eq!((recent.known.len(), recent.order.len()), (MOST, MOST));
         assert_eq!((recent.get(100.0, 99_999), recent.get(100.0, 5)), (Some(()), None));
         assert_eq!(recent.get(5000.0, 99_999), None);
     }
--- a/src/rumors.rs
+++ b/src/rumors.rs
@@ -234,7 +234,8 @@
     }
 
     fn aired(&mut self, now: f64) {
-        (self.air, self.air_at) = (self.on_air(now) + 1.0, now);
+        // A second's at the most: one that floods all must not silence them for longer than it speaks.
+        (self.air, self.air_at) = ((self.on_air(now) + 1.0).min(self.rate_all.max(1.0)), now);
     }
 
     /// The note to all that is due, if one is.
@@ -389,6 +390,23 @@
         assert!((20..=90).contains(&notes), "{notes} notes in three seconds");
     }
 
+    #[test]
+    fn one_that_floods_all_silences_nobody_for_longer_than_it_speaks() {
+        let mut r = tier(300, 60).remove(0);
+        for ms in 0..3000u32 {
+            r.hear(f64::from(ms), 66, &format!("{MARK}{:x}", short("s2")));
+        }
+        r.ended(3000.0, 1, "s1", Some(false));
+        // A second until the air is free, and its own turn.
+        let mut now = 3000.0;
+        let said = std::iter::from_fn(|| {
+            now += r.wake(now)?.max(1.0);
+            Some(r.due(now))
+        });
+        assert!(said.take(9).any(|note| note.is_some()));
+        assert!(now <= 3000.0 + LOT_MS + 1000.0 + 2.0 * TURN_MS, "{now}");
+    }
+
     #[test]
     fn what_waited_until_it_had_faded_is_no_news() {
         let mut r = tier(300, 60).remove(0);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -82,6 +82,19 @@
     })
 }
 
+/// The first note to a peer.
+fn note(actions: &[Action]) -> Option<String> {
+    actions.iter().find_map(|a| if let Action::Tell { text, .. } = a { Some(text.clone()) } else { None })
+}
+
+/// The timer of a request that waits for its keeper, and after how long.
+fn waits(actions: &[Action]) -> Option<(u64, f64)> {
+    actions.iter().find_map(|a| match a {
+        Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
+        _ => None,
+    })
+}
+
 fn refused(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
 }
@@ -258,16 +271,6 @@
     let asker = 1 - keeper;
     let new = |me| gateway(Settings { gateways: 300, me, note_intake: 60.0, ..settings() });
     let (mut k, mut g) = (new(keeper), new(asker));
-    let note = |actions: &[Action]| {
-        let text = |a: &Action| if let Action::Tell { text, .. } = a { Some(text.clone()) } else { None };
-        actions.iter().find_map(text)
-    };
-    let waits = |actions: &[Action]| {
-        let timer = |a: &Action| {
-            if let Action::SetTimer { token, after } = a { Some((*token, *after)) } else { None }
-        };
-        actions.iter().filter_map(timer).find(|(token, _)| *token > 1)
-    };
     let mut now = 5000.0;
     let mut answers = Vec::new();
     for id in 1..=5 {
@@ -293,6 +296,27 @@
     assert_eq!(answers, [true; 5]);
 }
 
+/// A gateway that dies and is back within a second counts its questions anew. Counted from one, the first of each life was
+/// the same question to its keeper, and was granted without being charged.
+#[test]
+fn a_new_lifes_questions_are_not_taken_for_those_of_the_one_before() {
+    let keeper = keeper_of("acme", 0, 2, 300);
+    let asker = 1 - keeper;
+    let cfg = |me| Settings { gateways: 300, me, note_intake: 60.0, ..settings() };
+    let mut k = gateway(cfg(keeper));
+    let mut granted = 0;
+    for life in 0..12u64 {
+        let now = 5000.0 + 20.0 * life as f64;
+        let mut g = Control::new(cfg(asker), 77 + 1000 * life).expect("sound settings");
+        g.handle(now, Event::Servers { listing: Listing::Complete, servers: vec![line("a", 0)] });
+        let text = note(&g.handle(now, ask(1, 0, 1, now))).expect("a question");
+        let answer = note(&k.handle(now, Event::Note { from: asker, text })).expect("an answer");
+        // Its code is 1 for a grant.
+        granted += u32::from(answer.split(',').nth(2) == Some("1"));
+    }
+    assert_eq!(granted, 4, "of a store of four");
+}
+
 /// Where a whole intake is full, or nobody hears anybody, each question put twice would lose twice as many.
 #[test]
 fn questions_are_put_once_more_within_a_budget() {
@@ -310,11 +334,7 @@
         let now = 5000.0 + 1000.0 * id as f64;
         let done = g.handle(now, ask(id, 0, 1, now));
         first += questions(&done);
-        let timer = done.iter().find_map(|a| match a {
-            Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
-            _ => None,
-        });
-        let (token, after) = timer.expect("a wait");
+        let (token, after) = waits(&done).expect("a wait");
         let done = g.handle(now + after, Event::Timer { token });
         again += questions(&done);
         let ended = |done: &[Action]| refused(done) || sent(done).is_some();
@@ -1136,12 +1156,8 @@
     for me in (0..80).filter(|me| *me != keeper) {
         let mut g = gateway(Settings { gateways: 80, me, ..settings() });
         let Event::Request(r) = ask(1, 0, 1, 1000.0) else { unreachable!("a request") };
-        let waits = g.handle(1000.0, Event::Request(Request { spread: 80, ..r }));
-        let timer = waits.iter().find_map(|a| match a {
-            Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
-            _ => None,
-        });
-        let (token, after) = timer.expect("it asks and waits");
+        let first = g.handle(1000.0, Event::Request(Request { spread: 80, ..r }));
+        let (token, after) = waits(&first).expect("it asks and waits");
         // It asks once more, and then goes by what it knows.
         g.handle(1000.0 + after, Event::Timer { token });
         let done = g.handle(1000.0 + 2.0 * after, Event::Timer { token });
@@ -1202,11 +1218,7 @@
         let (who, now) = ((k % 4) as usize, k as f64 * 2.5);
         let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!("a request") };
         let mut done = tier[who].handle(now, Event::Request(Request { spread: 4, ..r }));
-        let waits = done.iter().find_map(|a| match a {
-            Action::SetTimer { token, after } if *token > 1 => Some((*token, *after)),
-            _ => None,
-        });
-        if let Some((token, after)) = waits {
+        if let Some((token, after)) = waits(&done) {
             assert!(after <= 0.0, "there is nobody to wait for");
             done = tier[who].handle(now, Event::Timer { token });
         }
