--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,7 @@
 mod lives;
 
 use crate::api::*;
-use crate::ceiling::{Dealing, Store};
+use crate::ceiling::Dealing;
 use crate::estimate::{ALIKE_PEERS, SIDE_BY_SIDE, Seen, View};
 use crate::hands::{Hands, Waits};
 use crate::live::*;
