--- /dev/null
+++ b/crates/council/src/net.rs
@@ -0,0 +1,86 @@
+//! Raft's own messages over the transport.
+
+use crate::member::Shared;
+use crate::store::{Member, TypeConfig};
+use crate::wire::{self, Kind};
+use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
+use openraft::network::{Backoff, RPCOption, RaftNetwork, RaftNetworkFactory};
+use openraft::raft::{
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::error::Error;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Makes ways to members.
+pub struct Ways(pub Arc<Shared>);
+
+impl RaftNetworkFactory<TypeConfig> for Ways {
+    type Network = Way;
+
+    async fn new_client(&mut self, target: u64, node: &Member) -> Way {
+        Way { shared: self.0.clone(), target, at: node.at.clone() }
+    }
+}
+
+/// A way to one member.
+pub struct Way {
+    shared: Arc<Shared>,
+    target: u64,
+    at: String,
+}
+
+/// After a member could not be reached it is left alone for so long.
+const PAUSE: Duration = Duration::from_millis(100);
+
+type Lost<E> = RPCError<u64, Member, E>;
+
+impl Way {
+    async fn send<Q, A, E>(&self, kind: Kind, ask: &Q, option: &RPCOption) -> Result<A, Lost<E>>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+        E: Error + DeserializeOwned,
+    {
+        let body = wire::body(ask);
+        let answer = self.shared.ask(&self.at, self.target, kind, body, option.hard_ttl()).await;
+        let answer =
+            answer.map_err(|e| RPCError::Unreachable(Unreachable::new(&std::io::Error::other(e))))?;
+        let answer: Result<A, E> =
+            wire::read(&answer.body).map_err(|e| RPCError::Network(NetworkError::new(&e)))?;
+        answer.map_err(|e| RPCError::RemoteError(RemoteError::new(self.target, e)))
+    }
+}
+
+impl RaftNetwork<TypeConfig> for Way {
+    async fn append_entries(
+        &mut self,
+        rpc: AppendEntriesRequest<TypeConfig>,
+        option: RPCOption,
+    ) -> Result<AppendEntriesResponse<u64>, Lost<RaftError<u64>>> {
+        self.send(Kind::Append, &rpc, &option).await
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        rpc: InstallSnapshotRequest<TypeConfig>,
+        option: RPCOption,
+    ) -> Result<InstallSnapshotResponse<u64>, Lost<RaftError<u64, InstallSnapshotError>>> {
+        self.send(Kind::Snapshot, &rpc, &option).await
+    }
+
+    async fn vote(
+        &mut self,
+        rpc: VoteRequest<u64>,
+        option: RPCOption,
+    ) -> Result<VoteResponse<u64>, Lost<RaftError<u64>>> {
+        self.send(Kind::Vote, &rpc, &option).await
+    }
+
+    fn backoff(&self) -> Backoff {
+        Backoff::new(std::iter::repeat(PAUSE))
+    }
+}
