Fenced work in the record: roll-up, gaps, retention, publishing, export, each unit once

Work for the whole fleet is done by an owner, and an owner that was stopped may write after it was replaced. In the record each such step is one transaction that begins with its fence: an epoch below one that was seen, or the same number from another owner, is refused before anything is read, and what stands is told. Only a live lease gives out the fence that Op::ForFleet wants.

Five tests on SQLite and on the PostgreSQL stand-in each.

--- a/crates/record/src/error.rs
+++ b/crates/record/src/error.rs
@@ -16,6 +16,17 @@
         /// Since when, Unix time in ms.
         since_ms: i64,
     },
+    /// It came from a former owner of the duty: nothing was done.
+    Fenced {
+        /// Which duty.
+        duty: String,
+        /// The epoch it came under.
+        epoch: u64,
+        /// The one that stands.
+        stands: u64,
+        /// Whose that is.
+        by: String,
+    },
     /// It can't be done as it is asked: the field, and what it may be.
     Invalid(String),
     /// The database can't be reached or does not answer in time. Nothing was done.
@@ -57,7 +68,7 @@
     #[must_use]
     pub fn state(&self) -> &'static str {
         match self {
-            Error::Conflict { .. } | Error::Invalid(_) => "sound",
+            Error::Conflict { .. } | Error::Fenced { .. } | Error::Invalid(_) => "sound",
             Error::Away(_) | Error::InDoubt(_) | Error::Again(_) => "away",
             Error::Newer { .. } => "newer",
             Error::Full(_) => "full",
@@ -77,6 +88,9 @@
                 "{subject}: {by} was first: it is at revision {revision} since {since_ms} ms (Unix time); nothing was \
                  changed; look at it and set it again on top of that revision"
             ),
+            Error::Fenced { duty, epoch, stands, by } => {
+                write!(f, "duty {duty}: epoch {epoch} is refused, {stands} of {by} stands; nothing was done")
+            }
             Error::Invalid(what) => f.write_str(what),
             Error::Away(what) => write!(f, "the record can't be reached: {what}; nothing was done"),
             Error::InDoubt(what) => write!(f, "the record's answer was lost ({what}): it was done or not"),
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -8,12 +8,14 @@
 //!
 //! - [`model`]: what is kept. Units are whole thousandths, times UTC milliseconds; nothing is a float.
 //! - [`ops`]: what can be done, once for both databases, each in one transaction.
+//! - [`fleet`]: work on behalf of the fleet, behind the fence of its owner.
 //! - [`sqlite`], [`postgres`]: the two of them.
 //! - [`upload`], [`restore`]: decisions without input or output: when to send what is spooled, and what a gatekeeper
 //!   that comes back may be given.
 //! - [`spool`]: use that waits for the database, in a bounded local file.
 
 pub mod error;
+pub mod fleet;
 pub mod model;
 pub mod ops;
 pub mod postgres;
@@ -24,6 +26,7 @@
 pub mod upload;
 
 pub use error::Error;
+pub use fleet::Work;
 pub use ops::{Op, Reply};
 
 use async_trait::async_trait;
--- a/crates/record/src/model.rs
+++ b/crates/record/src/model.rs
@@ -123,6 +123,68 @@
     pub plans: Vec<Kept<Plan>>,
     /// The overrides.
     pub overrides: Vec<Kept<Override>>,
+    /// Plans that the fleet's owner of that duty has had take effect: name and revision.
+    pub published: Vec<(String, i64)>,
+    /// What stands for each duty.
+    pub fences: Vec<Standing>,
+}
+
+/// The highest epoch that the record has seen of a duty.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Standing {
+    /// Which duty.
+    pub duty: String,
+    /// The epoch.
+    pub epoch: i64,
+    /// Whose it is, as `agent#life`.
+    pub owner: String,
+    /// Since when, UTC ms.
+    pub at_ms: i64,
+}
+
+/// A part of the export: its rows never change, whoever writes it out.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Export {
+    /// From 1, with none left out.
+    pub number: i64,
+    /// Its rows.
+    pub rows: Vec<ExportRow>,
+}
+
+/// Use of a day that came since the part before.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ExportRow {
+    /// The day's begin, UTC ms.
+    pub day_ms: i64,
+    /// 16 hex digits.
+    pub shop: String,
+    /// Its plan.
+    pub plan: String,
+    /// The class.
+    pub class: String,
+    /// Units sent on or granted, in thousandths.
+    pub passed_milli: i64,
+    /// Units refused.
+    pub refused_milli: i64,
+    /// Units served.
+    pub served_milli: i64,
+}
+
+/// A part of the export as it is kept.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ExportPart {
+    /// Its number.
+    pub number: i64,
+    /// How many rows.
+    pub rows: i64,
+    /// When it was begun, UTC ms.
+    pub made_ms: i64,
+    /// Whether it is written out.
+    pub done: bool,
+    /// The digest of its file.
+    pub digest: String,
+    /// Under which epoch.
+    pub epoch: i64,
 }
 
 /// What one shop used of one class in a batch.
--- a/crates/record/src/ops.rs
+++ b/crates/record/src/ops.rs
@@ -2,8 +2,13 @@
 //! changes carry numbers of their own, by which a second try after a lost answer is known.
 
 use crate::error::Error;
-use crate::model::{Batch, Change, Entry, Gap, Kept, Level, Line, Override, Plan, Shop, Snapshot, Total};
+use crate::fleet::{self, Work};
+use crate::model::{
+    Batch, Change, Entry, Export, ExportPart, Gap, Kept, Level, Line, Override, Plan, Shop, Snapshot,
+    Standing, Total,
+};
 use crate::sql;
+use frostvale_owner::Fence;
 use serde_json::json;
 
 /// A value in a row or a statement.
@@ -38,14 +43,14 @@
 pub struct Row(pub Vec<Value>);
 
 impl Row {
-    fn int(&self, k: usize) -> Result<i64, Error> {
+    pub(crate) fn int(&self, k: usize) -> Result<i64, Error> {
         match self.0.get(k) {
             Some(Value::Int(n)) => Ok(*n),
             other => Err(Error::Corrupt(format!("column {k} is no number: {other:?}"))),
         }
     }
 
-    fn text(&self, k: usize) -> Result<String, Error> {
+    pub(crate) fn text(&self, k: usize) -> Result<String, Error> {
         match self.0.get(k) {
             Some(Value::Text(text)) => Ok(text.clone()),
             other => Err(Error::Corrupt(format!("column {k} is no text: {other:?}"))),
@@ -151,13 +156,32 @@
     Instances,
     /// Reads the latest of the audit trail.
     Audit(i64),
+    /// Something on behalf of the fleet, which only a live lease can ask for.
+    ForFleet {
+        /// The proof.
+        fence: Fence,
+        /// What.
+        work: Work,
+        /// When, UTC ms.
+        now_ms: i64,
+    },
+    /// Reads the parts of the export.
+    Exports,
+    /// Reads use by day, so many rows at the most: with what is exported of it.
+    Days(i64),
 }
 
 impl Op {
     /// Whether others are to be told.
     #[must_use]
     pub fn tells(&self) -> bool {
-        matches!(self, Op::SetPlan(..) | Op::SetShop(..) | Op::SetOverride(..))
+        matches!(
+            self,
+            Op::SetPlan(..)
+                | Op::SetShop(..)
+                | Op::SetOverride(..)
+                | Op::ForFleet { work: Work::Publish, .. }
+        )
     }
 }
 
@@ -186,6 +210,14 @@
     Instances(Vec<(String, String, i64, i64, i64)>),
     /// The audit trail, newest first.
     Audit(Vec<Entry>),
+    /// Work for the fleet: how much was done.
+    Did(u64),
+    /// The part of the export that is to be written out.
+    Export(Option<Export>),
+    /// Parts of the export.
+    Exports(Vec<ExportPart>),
+    /// Use by day, and how much of it (passed) is exported.
+    Days(Vec<(crate::model::ExportRow, i64)>),
 }
 
 /// Does it, in a transaction that the caller makes final or gives up.
@@ -270,6 +302,37 @@
             tx.execute(sql::INSTANCE_SEEN, args![name, host, *epoch_ms, *now_ms, *revision]).await?;
             Ok(Reply::Done)
         }
+        Op::ForFleet { fence, work, now_ms } => fleet::apply(tx, fence, work, *now_ms).await,
+        Op::Exports => {
+            let rows = tx.query(sql::EXPORTS, vec![]).await?;
+            let part = |r: &Row| {
+                Ok(ExportPart {
+                    number: r.int(0)?,
+                    rows: r.int(1)?,
+                    made_ms: r.int(2)?,
+                    done: r.int(3)? != 0,
+                    digest: r.text(4)?,
+                    epoch: r.int(5)?,
+                })
+            };
+            Ok(Reply::Exports(rows.iter().map(part).collect::<Result<_, Error>>()?))
+        }
+        Op::Days(most) => {
+            let rows = tx.query(sql::DAYS, args![*most]).await?;
+            let day = |r: &Row| {
+                let row = crate::model::ExportRow {
+                    day_ms: r.int(0)?,
+                    shop: r.text(1)?,
+                    plan: r.text(2)?,
+                    class: r.text(3)?,
+                    passed_milli: r.int(4)?,
+                    refused_milli: r.int(5)?,
+                    served_milli: r.int(6)?,
+                };
+                Ok((row, r.int(7)?))
+            };
+            Ok(Reply::Days(rows.iter().map(day).collect::<Result<_, Error>>()?))
+        }
         Op::Instances => {
             let rows = tx.query(sql::INSTANCES, vec![]).await?;
             let one = |r: &Row| Ok((r.text(0)?, r.text(1)?, r.int(2)?, r.int(3)?, r.int(4)?));
@@ -341,10 +404,16 @@
     let revision = head.first().ok_or_else(|| Error::Corrupt("no head".into()))?.int(0)?;
     let plans = tx.query(sql::PLANS, vec![]).await?;
     let overrides = tx.query(sql::OVERRIDES, vec![]).await?;
+    let published = tx.query(sql::PUBLISHED, vec![]).await?;
+    let fences = tx.query(sql::FENCES, vec![]).await?;
+    let standing =
+        |r: &Row| Ok(Standing { duty: r.text(0)?, epoch: r.int(1)?, owner: r.text(2)?, at_ms: r.int(3)? });
     Ok(Reply::Snapshot(Snapshot {
         revision,
         plans: plans.iter().map(|r| plan_of(r).map(|f| f.0)).collect::<Result<_, _>>()?,
         overrides: overrides.iter().map(|r| override_of(r).map(|f| f.0)).collect::<Result<_, _>>()?,
+        published: published.iter().map(|r| Ok((r.text(0)?, r.int(1)?))).collect::<Result<_, Error>>()?,
+        fences: fences.iter().map(standing).collect::<Result<_, Error>>()?,
     }))
 }
 
--- a/crates/record/src/sql.rs
+++ b/crates/record/src/sql.rs
@@ -38,6 +38,27 @@
          why TEXT NOT NULL)",
     ],
     &["CREATE INDEX totals_by_hour ON totals (hour_ms)"],
+    // Work on behalf of the fleet.
+    &[
+        "CREATE TABLE fences (duty TEXT PRIMARY KEY, epoch BIGINT NOT NULL, owner TEXT NOT NULL, at_ms BIGINT NOT NULL)",
+        "ALTER TABLE batches ADD COLUMN rolled BIGINT NOT NULL DEFAULT 0",
+        "CREATE INDEX batches_by_roll ON batches (rolled, landed_ms)",
+        "CREATE TABLE lives (instance TEXT NOT NULL, epoch_ms BIGINT NOT NULL, purged_seq BIGINT NOT NULL, \
+         PRIMARY KEY (instance, epoch_ms))",
+        "CREATE TABLE retired (id BIGINT PRIMARY KEY, passed_milli BIGINT NOT NULL)",
+        "INSERT INTO retired (id, passed_milli) VALUES (1, 0)",
+        "CREATE TABLE days (day_ms BIGINT NOT NULL, shop TEXT NOT NULL, plan TEXT NOT NULL, class TEXT NOT NULL, \
+         passed_milli BIGINT NOT NULL, refused_milli BIGINT NOT NULL, served_milli BIGINT NOT NULL, \
+         out_passed BIGINT NOT NULL, out_refused BIGINT NOT NULL, out_served BIGINT NOT NULL, \
+         PRIMARY KEY (day_ms, shop, plan, class))",
+        "CREATE TABLE exports (number BIGINT PRIMARY KEY, row_count BIGINT NOT NULL, made_ms BIGINT NOT NULL, \
+         done BIGINT NOT NULL, digest TEXT NOT NULL, epoch BIGINT NOT NULL)",
+        "CREATE TABLE export_rows (number BIGINT NOT NULL, day_ms BIGINT NOT NULL, shop TEXT NOT NULL, \
+         plan TEXT NOT NULL, class TEXT NOT NULL, passed_milli BIGINT NOT NULL, refused_milli BIGINT NOT NULL, \
+         served_milli BIGINT NOT NULL, PRIMARY KEY (number, day_ms, shop, plan, class))",
+        "CREATE TABLE published (name TEXT PRIMARY KEY, revision BIGINT NOT NULL, epoch BIGINT NOT NULL, \
+         at_ms BIGINT NOT NULL)",
+    ],
 ];
 
 /// The newest version.
@@ -120,9 +141,10 @@
         epoch_ms = excluded.epoch_ms, seen_ms = excluded.seen_ms, revision = excluded.revision";
     /// All instances.
     INSTANCES = "SELECT name, host, epoch_ms, seen_ms, revision FROM instances ORDER BY name";
-    /// A batch lands, unless it has.
-    BATCH_NEW = "INSERT INTO batches (instance, epoch_ms, seq, from_ms, to_ms, is_last, landed_ms) VALUES \
-        ($1::TEXT, $2::BIGINT, $3::BIGINT, $4::BIGINT, $5::BIGINT, $6::BIGINT, $7::BIGINT) \
+    /// A batch lands, unless it has; one that has, and was let go of since, is known by its life.
+    BATCH_NEW = "INSERT INTO batches (instance, epoch_ms, seq, from_ms, to_ms, is_last, landed_ms) SELECT \
+        $1::TEXT, $2::BIGINT, $3::BIGINT, $4::BIGINT, $5::BIGINT, $6::BIGINT, $7::BIGINT WHERE NOT EXISTS \
+        (SELECT 1 FROM lives WHERE instance = $1::TEXT AND epoch_ms = $2::BIGINT AND purged_seq >= $3::BIGINT) \
         ON CONFLICT (instance, epoch_ms, seq) DO NOTHING";
     /// A line of it.
     LEDGER_NEW = "INSERT INTO ledger (instance, epoch_ms, seq, shop, plan, class, passed_milli, refused_milli, \
@@ -160,10 +182,109 @@
         AND at_ms >= $2::BIGINT";
     /// Those that are full again by now are of no use.
     LEVELS_OLD = "DELETE FROM levels WHERE at_ms < $1::BIGINT";
+    /// An epoch takes its place, unless a higher one has; and one number has one owner.
+    FENCE = "INSERT INTO fences (duty, epoch, owner, at_ms) VALUES ($1::TEXT, $2::BIGINT, $3::TEXT, $4::BIGINT) \
+        ON CONFLICT (duty) DO UPDATE SET epoch = excluded.epoch, owner = excluded.owner, at_ms = excluded.at_ms \
+        WHERE excluded.epoch > fences.epoch OR (excluded.epoch = fences.epoch AND excluded.owner = fences.owner)";
+    /// What stands.
+    FENCE_OF = "SELECT epoch, owner FROM fences WHERE duty = $1::TEXT";
+    /// All that stands.
+    FENCES = "SELECT duty, epoch, owner, at_ms FROM fences ORDER BY duty";
+    /// The next round of rolling up.
+    ROLL_NEXT = "SELECT CAST(COALESCE(MAX(rolled), 0) + 1 AS BIGINT) AS n FROM batches";
+    /// Batches of this round, the oldest first.
+    ROLL_MARK = "UPDATE batches SET rolled = $1::BIGINT WHERE (instance, epoch_ms, seq) IN (SELECT instance, \
+        epoch_ms, seq FROM batches WHERE rolled = 0 ORDER BY landed_ms, instance, epoch_ms, seq LIMIT $2::BIGINT)";
+    /// Their lines, added to the days.
+    ROLL_ADD = "INSERT INTO days (day_ms, shop, plan, class, passed_milli, refused_milli, served_milli, out_passed, \
+        out_refused, out_served) SELECT b.to_ms / 86400000 * 86400000, l.shop, l.plan, l.class, \
+        CAST(SUM(l.passed_milli) AS BIGINT), CAST(SUM(l.refused_milli) AS BIGINT), \
+        CAST(SUM(l.served_milli) AS BIGINT), 0, 0, 0 FROM batches b JOIN ledger l ON l.instance = b.instance \
+        AND l.epoch_ms = b.epoch_ms AND l.seq = b.seq WHERE b.rolled = $1::BIGINT GROUP BY 1, 2, 3, 4 \
+        ON CONFLICT (day_ms, shop, plan, class) DO UPDATE SET \
+        passed_milli = days.passed_milli + excluded.passed_milli, \
+        refused_milli = days.refused_milli + excluded.refused_milli, \
+        served_milli = days.served_milli + excluded.served_milli";
+    /// Use by day, with what is exported of it.
+    DAYS = "SELECT day_ms, shop, plan, class, passed_milli, refused_milli, served_milli, out_passed FROM days \
+        ORDER BY day_ms, shop, plan, class LIMIT $1::BIGINT";
+    /// No gap where the last word has landed after all.
+    GAP_NONE = "DELETE FROM gaps WHERE EXISTS (SELECT 1 FROM batches b WHERE b.instance = gaps.instance AND \
+        b.epoch_ms = gaps.epoch_ms AND b.is_last = 1)";
+    /// Former lives without a last word.
+    GAP_FORMER = "INSERT INTO gaps (instance, epoch_ms, after_seq, from_ms, to_ms, why) SELECT b.instance, \
+        b.epoch_ms, MAX(b.seq), MAX(b.to_ms), i.epoch_ms, 'a later life began, and its last word never came' \
+        FROM batches b JOIN instances i ON i.name = b.instance WHERE b.epoch_ms < i.epoch_ms \
+        GROUP BY b.instance, b.epoch_ms, i.epoch_ms HAVING MAX(b.is_last) = 0 \
+        ON CONFLICT (instance, epoch_ms) DO NOTHING";
+    /// A life that is silent, without a last word.
+    GAP_SILENT = "INSERT INTO gaps (instance, epoch_ms, after_seq, from_ms, to_ms, why) SELECT i.name, i.epoch_ms, \
+        COALESCE((SELECT MAX(b.seq) FROM batches b WHERE b.instance = i.name AND b.epoch_ms = i.epoch_ms), 0), \
+        COALESCE((SELECT MAX(b.to_ms) FROM batches b WHERE b.instance = i.name AND b.epoch_ms = i.epoch_ms), \
+        i.epoch_ms), $3::BIGINT, 'nothing is heard of it' FROM instances i WHERE i.name = $1::TEXT AND \
+        i.epoch_ms = $2::BIGINT AND NOT EXISTS (SELECT 1 FROM batches b WHERE b.instance = i.name AND \
+        b.epoch_ms = i.epoch_ms AND b.is_last = 1) ON CONFLICT (instance, epoch_ms) DO NOTHING";
+    /// Lives with batches that are old: how far they are let go of, and their newest batch.
+    OLD_LIVES = "SELECT b.instance, b.epoch_ms, COALESCE(MAX(v.purged_seq), 0) AS purged, (SELECT MAX(n.seq) FROM \
+        batches n WHERE n.instance = b.instance AND n.epoch_ms = b.epoch_ms) AS newest FROM batches b LEFT JOIN \
+        lives v ON v.instance = b.instance AND v.epoch_ms = b.epoch_ms WHERE b.rolled > 0 AND \
+        b.landed_ms < $1::BIGINT GROUP BY b.instance, b.epoch_ms HAVING COUNT(*) > 1 \
+        ORDER BY COUNT(*) DESC, b.instance, b.epoch_ms LIMIT 64";
+    /// Their numbers.
+    OLD_SEQS = "SELECT seq FROM batches WHERE instance = $1::TEXT AND epoch_ms = $2::BIGINT AND rolled > 0 AND \
+        landed_ms < $3::BIGINT ORDER BY seq LIMIT $4::BIGINT";
+    /// What the lines that go have held.
+    RETIRE = "UPDATE retired SET passed_milli = passed_milli + (SELECT CAST(COALESCE(SUM(l.passed_milli), 0) AS \
+        BIGINT) FROM ledger l WHERE l.instance = $1::TEXT AND l.epoch_ms = $2::BIGINT AND l.seq >= $3::BIGINT AND \
+        l.seq <= $4::BIGINT) WHERE id = 1";
+    /// The lines go.
+    LEDGER_GONE = "DELETE FROM ledger WHERE instance = $1::TEXT AND epoch_ms = $2::BIGINT AND seq >= $3::BIGINT AND \
+        seq <= $4::BIGINT";
+    /// The batches go.
+    BATCHES_GONE = "DELETE FROM batches WHERE instance = $1::TEXT AND epoch_ms = $2::BIGINT AND seq >= $3::BIGINT \
+        AND seq <= $4::BIGINT";
+    /// How far a life is let go of.
+    LIFE_PURGED = "INSERT INTO lives (instance, epoch_ms, purged_seq) VALUES ($1::TEXT, $2::BIGINT, $3::BIGINT) \
+        ON CONFLICT (instance, epoch_ms) DO UPDATE SET purged_seq = excluded.purged_seq";
+    /// Plans whose time has come.
+    PUBLISH = "INSERT INTO published (name, revision, epoch, at_ms) SELECT name, revision, $1::BIGINT, $2::BIGINT \
+        FROM plans WHERE from_ms <= $2::BIGINT ON CONFLICT (name) DO UPDATE SET revision = excluded.revision, \
+        epoch = excluded.epoch, at_ms = excluded.at_ms WHERE published.revision <> excluded.revision";
+    /// What is published.
+    PUBLISHED = "SELECT name, revision FROM published ORDER BY name";
+    /// A part of the export that was begun.
+    EXPORT_BEGUN = "SELECT number FROM exports WHERE done = 0 ORDER BY number LIMIT 1";
+    /// The next number.
+    EXPORT_NEXT = "SELECT CAST(COALESCE(MAX(number), 0) + 1 AS BIGINT) AS n FROM exports";
+    /// Its rows: what has come since the part before.
+    EXPORT_TAKE = "INSERT INTO export_rows (number, day_ms, shop, plan, class, passed_milli, refused_milli, \
+        served_milli) SELECT $1::BIGINT, day_ms, shop, plan, class, passed_milli - out_passed, \
+        refused_milli - out_refused, served_milli - out_served FROM days WHERE day_ms <= $2::BIGINT AND \
+        (passed_milli <> out_passed OR refused_milli <> out_refused OR served_milli <> out_served) \
+        ORDER BY day_ms, shop, plan, class LIMIT $3::BIGINT";
+    /// They are taken.
+    EXPORT_TAKEN = "UPDATE days SET out_passed = out_passed + e.passed_milli, out_refused = out_refused + \
+        e.refused_milli, out_served = out_served + e.served_milli FROM export_rows e WHERE e.number = $1::BIGINT AND \
+        e.day_ms = days.day_ms AND e.shop = days.shop AND e.plan = days.plan AND e.class = days.class";
+    /// The part itself.
+    EXPORT_NEW = "INSERT INTO exports (number, row_count, made_ms, done, digest, epoch) VALUES ($1::BIGINT, \
+        $2::BIGINT, $3::BIGINT, 0, '', 0)";
+    /// Its rows.
+    EXPORT_ROWS = "SELECT day_ms, shop, plan, class, passed_milli, refused_milli, served_milli FROM export_rows \
+        WHERE number = $1::BIGINT ORDER BY day_ms, shop, plan, class";
+    /// It is written out.
+    EXPORT_DONE = "UPDATE exports SET done = 1, digest = $2::TEXT, epoch = $3::BIGINT WHERE number = $1::BIGINT \
+        AND done = 0";
+    /// All parts.
+    EXPORTS = "SELECT number, row_count, made_ms, done, digest, epoch FROM exports ORDER BY number";
+    /// Rows of parts that were written out long ago.
+    EXPORT_ROWS_OLD = "DELETE FROM export_rows WHERE number IN (SELECT number FROM exports WHERE done = 1 AND \
+        made_ms < $1::BIGINT)";
 }
 
-/// Use in the ledger and in the totals: they must agree.
-pub const SUM_LEDGER: &str = "SELECT CAST(COALESCE(SUM(passed_milli), 0) AS BIGINT) AS n FROM ledger";
+/// Use in the ledger, with what was let go of, and in the totals: they must agree.
+pub const SUM_LEDGER: &str = "SELECT CAST(COALESCE(SUM(passed_milli), 0) + (SELECT passed_milli FROM retired \
+    WHERE id = 1) AS BIGINT) AS n FROM ledger";
 /// The totals' side of it.
 pub const SUM_TOTALS: &str = "SELECT CAST(COALESCE(SUM(passed_milli), 0) AS BIGINT) AS n FROM totals";
 
--- /dev/null
+++ b/crates/record/tests/fleet.rs
@@ -0,0 +1,236 @@
+//! Work on behalf of the fleet, on both databases: who is refused, and that each unit counts once however steps are cut off.
+
+use frostvale_owner::fence::Owner;
+use frostvale_owner::{Action, Command, Fence, Host, Settings, State};
+use frostvale_record::fleet::DAY_MS;
+use frostvale_record::model::{Batch, Change, Line, Plan};
+use frostvale_record::{Backend, Error, Op, Place, Reply, Work};
+use frostvale_standin::postgres::{Login, Postgres};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+/// A fence as the owner of this epoch has it: there is no other way to one than by a lease.
+fn fence(duty: &str, agent: &str, epoch: u64) -> Fence {
+    let mut state = State::default();
+    let mut host = Host::new(agent, "a", &[duty.to_string()], Settings::default(), 1, 1);
+    state.apply(&Command::Raise { epoch: epoch - 1 });
+    for now in 1..100 {
+        for action in host.turn(now * 20, &state.clone()) {
+            match action {
+                Action::Propose(command) => {
+                    let outcome = state.apply(&command);
+                    host.answered(now * 20, &command, Some(&outcome));
+                }
+                Action::Begin(lease) => return lease.fence(now * 20).expect("held"),
+                _ => {}
+            }
+        }
+    }
+    panic!("never owned: {:?}", Owner { agent: agent.into(), life: 1 })
+}
+
+async fn both(name: &str) -> Vec<(Arc<dyn Backend>, Option<Postgres>, tempfile::TempDir)> {
+    let mut all = Vec::new();
+    for kind in ["sqlite", "postgres"] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join(format!("{name}.db"));
+        let (place, server) = if kind == "sqlite" {
+            (Place::new(&format!("sqlite:{}", file.display())), None)
+        } else {
+            let server = Postgres::start(Ipv4Addr::LOCALHOST.into(), &file, "sesame", Login::Scram)
+                .await
+                .expect("started");
+            let password = folder.path().join("password");
+            std::fs::write(&password, "sesame").expect("written");
+            let url = format!("postgres://agent@{}/frostvale", server.at);
+            (Place { password_file: Some(password), ..Place::new(&url) }, Some(server))
+        };
+        let backend = place.open().await.expect("opened");
+        backend.migrate().await.expect("migrated");
+        all.push((backend, server, folder));
+    }
+    all
+}
+
+async fn work(backend: &dyn Backend, fence: &Fence, work: Work, now_ms: i64) -> Result<Reply, Error> {
+    backend.run(Op::ForFleet { fence: fence.clone(), work, now_ms }).await
+}
+
+fn batch(epoch_ms: i64, seq: i64, day: i64, units: i64, last: bool) -> Batch {
+    let line = |shop: &str, units: i64| Line {
+        shop: shop.into(),
+        plan: "tienda".into(),
+        class: "mix-record".into(),
+        passed_milli: units * 1000,
+        refused_milli: 500,
+        served_milli: units * 900,
+    };
+    let to_ms = day * DAY_MS + seq * 1000;
+    let lines = vec![line("00000000b4d65521", units), line("00000000b4d65522", 2 * units)];
+    Batch { instance: "n1".into(), epoch_ms, seq, from_ms: to_ms - 1000, to_ms, last, lines }
+}
+
+async fn append(backend: &dyn Backend, batches: Vec<Batch>, now_ms: i64) -> Vec<bool> {
+    match backend.run(Op::Append { batches, now_ms }).await {
+        Ok(Reply::Landed(new)) => new,
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn days(backend: &dyn Backend) -> (i64, i64) {
+    let Ok(Reply::Days(rows)) = backend.run(Op::Days(1000)).await else { panic!("no days") };
+    (rows.iter().map(|(r, _)| r.passed_milli).sum(), rows.iter().map(|(_, out)| out).sum())
+}
+
+#[tokio::test]
+async fn a_former_owner_is_refused_before_it_has_done_anything() {
+    for (backend, _server, _folder) in both("fence").await {
+        append(&*backend, vec![batch(1, 1, 0, 5, false)], 0).await;
+        let (old, new) = (fence("roll-up", "a", 5), fence("roll-up", "b", 6));
+        assert_eq!(work(&*backend, &old, Work::Touch, 0).await, Ok(Reply::Did(0)));
+        assert_eq!(work(&*backend, &new, Work::Touch, 0).await, Ok(Reply::Did(0)));
+        let refused = work(&*backend, &old, Work::RollUp { most: 10 }, 0).await;
+        let stands = Error::Fenced { duty: "roll-up".into(), epoch: 5, stands: 6, by: "b#1".into() };
+        assert_eq!(refused, Err(stands));
+        assert_eq!(days(&*backend).await, (0, 0), "nothing was done");
+        // One number, two owners: the first that came has it.
+        let twin = fence("roll-up", "c", 6);
+        assert!(matches!(work(&*backend, &twin, Work::Touch, 0).await, Err(Error::Fenced { .. })));
+        // Another duty's numbers are its own affair.
+        assert!(work(&*backend, &fence("gaps", "a", 2), Work::Touch, 0).await.is_ok());
+        assert_eq!(work(&*backend, &new, Work::RollUp { most: 10 }, 0).await, Ok(Reply::Did(1)));
+        let Ok(Reply::Snapshot(all)) = backend.run(Op::Load).await else { panic!("no snapshot") };
+        let stands: Vec<(&str, i64, &str)> =
+            all.fences.iter().map(|f| (f.duty.as_str(), f.epoch, f.owner.as_str())).collect();
+        assert_eq!(stands, [("gaps", 2, "a#1"), ("roll-up", 6, "b#1")]);
+    }
+}
+
+#[tokio::test]
+async fn each_unit_is_rolled_up_and_exported_once_however_often_a_step_is_done_again() {
+    for (backend, _server, _folder) in both("export").await {
+        let owner = fence("export", "a", 1);
+        let units = |n: i64| 3 * n * 1000;
+        append(&*backend, (1..=5).map(|seq| batch(1, seq, 0, seq, false)).collect(), 10).await;
+        for left in [2, 2, 1, 0] {
+            let done = work(&*backend, &owner, Work::RollUp { most: 2 }, 0).await;
+            assert_eq!(done, Ok(Reply::Did(left)));
+        }
+        assert_eq!(days(&*backend).await, (units(15), 0));
+        // A day that has not ended is not exported.
+        let prepare = |before_ms| Work::PrepareExport { before_ms, most: 1 };
+        assert_eq!(work(&*backend, &owner, prepare(DAY_MS - 1), 0).await, Ok(Reply::Export(None)));
+        let Ok(Reply::Export(Some(one))) = work(&*backend, &owner, prepare(DAY_MS), 0).await else {
+            panic!("no part")
+        };
+        assert_eq!((one.number, one.rows.len()), (1, 1));
+        // Its owner dies before it is written: the next one finds the very same part.
+        append(&*backend, vec![batch(1, 6, 0, 100, false)], 20).await;
+        let heir = fence("export", "b", 2);
+        work(&*backend, &heir, Work::RollUp { most: 10 }, 0).await.expect("rolled up");
+        let again = work(&*backend, &heir, prepare(DAY_MS), 0).await;
+        assert_eq!(again, Ok(Reply::Export(Some(one.clone()))));
+        // The old owner wakes up: it may neither prepare nor finish.
+        for late in [prepare(DAY_MS), Work::FinishExport { number: 1, digest: "x".into() }] {
+            assert!(matches!(work(&*backend, &owner, late, 0).await, Err(Error::Fenced { .. })));
+        }
+        let finish = Work::FinishExport { number: 1, digest: "abc".into() };
+        assert_eq!(work(&*backend, &heir, finish.clone(), 0).await, Ok(Reply::Did(1)));
+        assert_eq!(work(&*backend, &heir, finish, 0).await, Ok(Reply::Did(0)), "once");
+        // What came meanwhile is in later parts, as differences; all parts together are the days.
+        let mut out: i64 = one.rows.iter().map(|r| r.passed_milli).sum();
+        let mut number = 1;
+        while let Ok(Reply::Export(Some(part))) = work(&*backend, &heir, prepare(DAY_MS), 0).await {
+            number += 1;
+            assert_eq!(part.number, number);
+            out += part.rows.iter().map(|r| r.passed_milli).sum::<i64>();
+            let finish = Work::FinishExport { number, digest: "abc".into() };
+            work(&*backend, &heir, finish, 0).await.expect("finished");
+        }
+        assert_eq!((out, number), (units(115), 3));
+        assert_eq!(days(&*backend).await, (units(115), units(115)));
+        let Ok(Reply::Exports(parts)) = backend.run(Op::Exports).await else { panic!("no parts") };
+        assert!(parts.iter().all(|p| p.done && p.epoch == 2 && p.digest == "abc"));
+    }
+}
+
+#[tokio::test]
+async fn what_is_let_go_of_never_lands_again_and_the_sums_still_agree() {
+    for (backend, _server, _folder) in both("retain").await {
+        let owner = fence("retention", "a", 1);
+        let all: Vec<Batch> = [1, 2, 3, 5, 6].map(|seq| batch(1, seq, 0, seq, false)).to_vec();
+        append(&*backend, all.clone(), 10).await;
+        let retain = Work::Retain { before_ms: 100, most: 100 };
+        assert_eq!(work(&*backend, &owner, retain.clone(), 0).await, Ok(Reply::Did(0)), "not rolled up yet");
+        work(&*backend, &owner, Work::RollUp { most: 100 }, 0).await.expect("rolled up");
+        assert_eq!(work(&*backend, &owner, retain.clone(), 0).await, Ok(Reply::Did(3)), "4 has not landed");
+        assert_eq!(append(&*backend, all, 20).await, [false; 5], "known, whether kept or let go of");
+        assert_eq!(append(&*backend, vec![batch(1, 4, 0, 4, false)], 30).await, [true]);
+        work(&*backend, &owner, Work::RollUp { most: 100 }, 0).await.expect("rolled up");
+        assert_eq!(work(&*backend, &owner, retain, 0).await, Ok(Reply::Did(2)), "the last of the life stays");
+        assert_eq!(days(&*backend).await.0, 21 * 3000);
+        let mark = Op::Watermark { instance: "n1".into(), epoch_ms: 1 };
+        assert_eq!(backend.run(mark).await, Ok(Reply::Watermark(Some((6, 6000, false)), 1)));
+        let said = backend.check().await.expect("whole");
+        assert!(said.contains("63000"), "{said}");
+    }
+}
+
+#[tokio::test]
+async fn gaps_are_found_where_a_last_word_is_missing_and_taken_back_when_it_comes() {
+    for (backend, _server, _folder) in both("gaps").await {
+        let owner = fence("gaps", "a", 1);
+        let seen =
+            |epoch_ms| Op::Seen { name: "n1".into(), host: "h".into(), epoch_ms, now_ms: 50, revision: 0 };
+        let find = |silent: &[(&str, i64)]| Work::FindGaps {
+            silent: silent.iter().map(|(n, e)| ((*n).to_string(), *e)).collect(),
+        };
+        append(&*backend, vec![batch(1, 1, 0, 5, false), batch(2, 1, 0, 5, true)], 0).await;
+        backend.run(seen(3)).await.expect("seen");
+        assert_eq!(work(&*backend, &owner, find(&[]), 90).await, Ok(Reply::Did(1)));
+        assert_eq!(work(&*backend, &owner, find(&[("n1", 3)]), 90).await, Ok(Reply::Did(1)));
+        assert_eq!(work(&*backend, &owner, find(&[("n1", 3), ("n9", 1)]), 91).await, Ok(Reply::Did(0)));
+        let Ok(Reply::Gaps(gaps)) = backend.run(Op::Gaps).await else { panic!("no gaps") };
+        let lives: Vec<(i64, i64)> = gaps.iter().map(|g| (g.epoch_ms, g.after_seq)).collect();
+        assert_eq!(lives, [(3, 0), (1, 1)], "the second life ended in order");
+        append(&*backend, vec![batch(1, 2, 0, 1, true)], 95).await;
+        work(&*backend, &owner, find(&[]), 96).await.expect("looked");
+        let Ok(Reply::Gaps(gaps)) = backend.run(Op::Gaps).await else { panic!("no gaps") };
+        assert_eq!(gaps.iter().map(|g| g.epoch_ms).collect::<Vec<_>>(), [3]);
+    }
+}
+
+#[tokio::test]
+async fn plans_take_effect_when_their_time_has_come_and_not_by_a_former_owner() {
+    for (backend, _server, _folder) in both("publish").await {
+        let plan = |name: &str, from_ms| Plan {
+            name: name.into(),
+            rate_milli: 1000,
+            burst_milli: 2000,
+            from_ms,
+            ..Plan::default()
+        };
+        let change = |id: &str, base| Change {
+            id: id.into(),
+            base,
+            by: "ana".into(),
+            source: "test".into(),
+            why: "a test".into(),
+            at_ms: 0,
+        };
+        backend.run(Op::SetPlan(plan("basico", 0), change("a", 0))).await.expect("set");
+        backend.run(Op::SetPlan(plan("tienda", 100), change("b", 0))).await.expect("set");
+        let (old, new) = (fence("publish", "a", 1), fence("publish", "b", 2));
+        let published = async || match backend.run(Op::Load).await {
+            Ok(Reply::Snapshot(all)) => all.published,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(work(&*backend, &old, Work::Publish, 50).await, Ok(Reply::Did(1)));
+        assert_eq!(published().await, [("basico".to_string(), 1)]);
+        assert_eq!(work(&*backend, &new, Work::Publish, 60).await, Ok(Reply::Did(0)));
+        assert!(work(&*backend, &old, Work::Publish, 100).await.is_err());
+        assert_eq!(published().await.len(), 1);
+        assert_eq!(work(&*backend, &new, Work::Publish, 100).await, Ok(Reply::Did(1)));
+        assert_eq!(published().await, [("basico".to_string(), 1), ("tienda".to_string(), 2)]);
+    }
+}
