--- a/crates/link/src/agent.rs
+++ b/crates/link/src/agent.rs
@@ -7,8 +7,8 @@
 use crate::VERSION;
 use crate::codec::{self, Frames};
 use crate::proto::{
-    Check, Decision, FromNode, Hello, Level, OutsideAsk, OutsideState, OutsideVerdict, Plans, PlansTaken,
-    Seen, Settle, ToNode, UseBatch, UseKept, Welcome,
+    Check, Decision, Epochs, FromNode, Hello, Level, OutsideAsk, OutsideState, OutsideVerdict, Plans,
+    PlansTaken, Refused, Seen, Settle, ToNode, UseBatch, UseKept, Welcome,
 };
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -78,6 +78,8 @@
     Levels(Vec<Level>),
     /// What came of plans.
     Plans(PlansTaken),
+    /// A decision on behalf of the fleet that was not taken.
+    Refused(Refused),
     /// After [`Link::bye`]: use until then is in the batches up to this number.
     Reported(u64),
 }
@@ -88,6 +90,7 @@
     Verdict(OutsideVerdict),
     UseKept(UseKept),
     Plans(Plans),
+    Epochs(Epochs),
     Levels(Vec<Level>),
     Bye,
 }
@@ -180,6 +183,11 @@
         let _ = self.orders.try_send(Order::Plans(plans));
     }
 
+    /// Sends what the council says of duties' epochs.
+    pub fn epochs(&self, epochs: Epochs) {
+        let _ = self.orders.try_send(Order::Epochs(epochs));
+    }
+
     /// Sends what stores held in a former life.
     pub fn levels(&self, levels: &[Level]) {
         for part in levels.chunks(LEVELS) {
@@ -366,6 +374,11 @@
                 Order::Verdict(verdict) => frame.outside.push(verdict),
                 Order::UseKept(numbers) => frame.use_kept.push(numbers),
                 Order::Plans(plans) => frame.plans = Some(plans),
+                // One that answers a nonce is not made to give way to one that does not.
+                Order::Epochs(epochs) => {
+                    let before = frame.epochs.take().filter(|b| epochs.nonce == 0 && b.nonce != 0);
+                    frame.epochs = Some(before.unwrap_or(epochs));
+                }
                 Order::Bye => frame.bye = "the agent stops".into(),
                 // These fill a frame by themselves.
                 Order::Levels(levels) => {
@@ -434,6 +447,9 @@
         if let Some(taken) = frame.plans_taken {
             let _ = self.news.try_send(News::Plans(taken));
         }
+        for refused in frame.refused {
+            let _ = self.news.try_send(News::Refused(refused));
+        }
         if let Some(number) = frame.reported {
             let _ = self.news.try_send(News::Reported(number));
         }
--- a/crates/link/src/node.rs
+++ b/crates/link/src/node.rs
@@ -6,7 +6,7 @@
 use crate::proto::{
     Check, Decision, FromNode, OutsideAsk, OutsideState, OutsideVerdict, Seen, Settle, ToNode,
 };
-use crate::proto::{Hello, Level, Plans, PlansTaken, UseBatch, UseKept, Welcome};
+use crate::proto::{Epochs, Hello, Level, Plans, PlansTaken, Refused, UseBatch, UseKept, Welcome};
 use std::cell::{Cell, RefCell};
 use std::fs;
 use std::io::ErrorKind;
@@ -47,6 +47,8 @@
     fn use_kept(&self, peer: &Rc<Peer>, kept: &[UseKept]);
     /// The plans' figures have changed.
     fn plans(&self, peer: &Rc<Peer>, plans: Plans);
+    /// What the council says of duties' epochs.
+    fn epochs(&self, peer: &Rc<Peer>, epochs: Epochs);
     /// What stores held in a former life.
     fn levels(&self, peer: &Rc<Peer>, levels: &[Level]);
     /// The agent stops: use so far is reported to it, and then [`Peer::reported`].
@@ -126,6 +128,11 @@
         self.push(0, |next| next.levels.push(level));
     }
 
+    /// Says that a decision was not taken.
+    pub fn refused(&self, refused: Refused) {
+        self.push(refused.duty.len() + refused.owner.len(), |next| next.refused.push(refused));
+    }
+
     /// Answers plans.
     pub fn plans_taken(&self, taken: PlansTaken) {
         self.push(64 * taken.plans.len() + taken.error.len(), |next| next.plans_taken = Some(taken));
@@ -341,6 +348,7 @@
     settles: std::vec::IntoIter<Settle>,
     outside: std::vec::IntoIter<OutsideVerdict>,
     use_kept: Vec<UseKept>,
+    epochs: Option<Epochs>,
     plans: Option<Plans>,
     levels: std::vec::IntoIter<Level>,
     bye: bool,
@@ -353,6 +361,7 @@
             settles: frame.settles.into_iter(),
             outside: frame.outside.into_iter(),
             use_kept: frame.use_kept,
+            epochs: frame.epochs,
             plans: frame.plans,
             levels: frame.levels.into_iter(),
             bye: !frame.bye.is_empty(),
@@ -366,6 +375,11 @@
             host.use_kept(peer, &std::mem::take(&mut self.use_kept));
             done += 1;
         }
+        // Before what was decided under them.
+        if let Some(epochs) = self.epochs.take() {
+            host.epochs(peer, epochs);
+            done += 1;
+        }
         if let Some(plans) = self.plans.take() {
             host.plans(peer, plans);
             done += 1;
--- a/crates/proto/src/gen/frostvale.link.v1.rs
+++ b/crates/proto/src/gen/frostvale.link.v1.rs
@@ -22,6 +22,9 @@
     /// The agent stops: use so far is to be reported, and then how far that goes.
     #[prost(string, tag = "8")]
     pub bye: ::prost::alloc::string::String,
+    /// What the council says of duties' epochs.
+    #[prost(message, optional, tag = "9")]
+    pub epochs: ::core::option::Option<Epochs>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromNode {
@@ -49,6 +52,9 @@
     /// The answer to an agent's bye: use until now is in the batches up to this number.
     #[prost(uint64, optional, tag = "10")]
     pub reported: ::core::option::Option<u64>,
+    /// What was sent on behalf of the fleet and not taken.
+    #[prost(message, repeated, tag = "11")]
+    pub refused: ::prost::alloc::vec::Vec<Refused>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Hello {
@@ -85,6 +91,9 @@
     /// The most units that one request may count, in thousandths; 0 where nothing is said.
     #[prost(uint64, tag = "8")]
     pub largest_milli: u64,
+    /// Of this life alone: an agent of a council answers with what is current, having asked the council after this came.
+    #[prost(uint64, tag = "9")]
+    pub nonce: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Plan {
@@ -110,6 +119,43 @@
     pub revision: u64,
     #[prost(message, repeated, tag = "2")]
     pub plans: ::prost::alloc::vec::Vec<Plan>,
+    /// Whose decision they are, where the agent is of a council.
+    #[prost(message, optional, tag = "3")]
+    pub fence: ::core::option::Option<Fence>,
+}
+/// A decision on behalf of the fleet: which duty's, under which epoch, and whose.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Fence {
+    #[prost(string, tag = "1")]
+    pub duty: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(string, tag = "3")]
+    pub owner: ::prost::alloc::string::String,
+}
+/// The epochs that were given out. With the nonce of a life, asked of the council after that life's welcome came: before
+/// that a gatekeeper believes nobody, as the first that reaches it may be an owner of long ago. With 0, as last heard.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Epochs {
+    #[prost(uint64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub given: ::prost::alloc::vec::Vec<Fence>,
+}
+/// A decision that was not taken, and what stands; 0 where the gatekeeper doesn't know yet what is current.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Refused {
+    #[prost(string, tag = "1")]
+    pub duty: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "3")]
+    pub stands: u64,
+    #[prost(string, tag = "4")]
+    pub owner: ::prost::alloc::string::String,
+    /// Since this life began.
+    #[prost(uint64, tag = "5")]
+    pub count: u64,
 }
 /// The revision that is in effect, and which plans have no place in the gatekeeper's settings.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/bin/frostvale/extra.rs
+++ b/src/bin/frostvale/extra.rs
@@ -225,6 +225,14 @@
         assert!(Extra::of("", &conf()).is_ok_and(|e| e.link.is_none() && e.outside.is_none()));
     }
 
+    /// What `run` starts with: no file. Whoever adds a part adds it here, switched off.
+    #[test]
+    fn without_a_file_every_part_is_off() {
+        let Extra { link, outside, usage, log, clock_ahead_ms } = Extra::default();
+        assert!(link.is_none() && outside.is_none() && usage.is_none());
+        assert!(matches!(log.format, Format::Text) && log.level == "info" && clock_ahead_ms == 0);
+    }
+
     #[test]
     fn the_sample_is_sound() {
         let sample = include_str!("../../../deploy/frostvale.toml");
--- /dev/null
+++ b/src/bin/frostvale/fences.rs
@@ -0,0 +1,123 @@
+//! What this gatekeeper knows of the epochs of duties, and which decisions on behalf of the fleet it takes.
+//!
+//! A gatekeeper that has just started knows no epoch. The first agent that reaches it may be one that owned a duty long ago
+//! and was stopped since, so it believes nobody before an agent has answered the nonce of this life: the agent asks the
+//! council after it got the nonce, so what it says is no older than this life. From then on the highest epoch heard of
+//! counts, whoever told it.
+
+use frostvale_link::proto::{Epochs, Fence, Refused};
+use frostvale_owner::Table;
+use frostvale_owner::fence::Refused as Why;
+use frostvale_owner::registry::is_name;
+use std::hash::BuildHasher;
+
+/// The duty whose decisions are plans.
+pub const PLANS: &str = "publish";
+/// Duties that are remembered.
+const DUTIES: usize = 256;
+/// Bytes of an owner's name.
+const OWNER: usize = 128;
+
+/// The fences of one life.
+pub struct Fences {
+    table: Table,
+    nonce: u64,
+    confirmed: bool,
+    refused: u64,
+}
+
+impl Fences {
+    /// Knows nothing. `life` tells lives apart.
+    pub fn new(life: u64) -> Fences {
+        let drawn = std::collections::hash_map::RandomState::new().hash_one(life);
+        Fences { table: Table::new(DUTIES), nonce: drawn.max(1), confirmed: false, refused: 0 }
+    }
+
+    /// What an agent of a council has to answer.
+    pub fn nonce(&self) -> u64 {
+        self.nonce
+    }
+
+    /// An agent says what is given out. True if this life is confirmed by it, for the first time.
+    pub fn heard(&mut self, epochs: &Epochs) -> bool {
+        if !epochs.given.iter().all(sound) || epochs.given.len() > DUTIES {
+            self.refused += 1;
+            return false;
+        }
+        for fence in &epochs.given {
+            self.table.floor(&fence.duty, fence.epoch);
+        }
+        let first = epochs.nonce == self.nonce && !self.confirmed;
+        self.confirmed |= first;
+        first
+    }
+
+    /// Takes a decision in, or says why not. One without a fence is of an agent that is of no council: it counts only as
+    /// long as no council is known of.
+    pub fn admit(&mut self, duty: &str, fence: Option<&Fence>) -> Result<(), Refused> {
+        let (epoch, owner) = fence.map_or((0, ""), |f| (f.epoch, f.owner.as_str()));
+        let done = match fence {
+            None if self.table.stands(duty).is_none() => return Ok(()),
+            None => Err(self.table.stands(duty).cloned()),
+            Some(fence) if fence.duty != duty || !sound(fence) || !self.confirmed => Err(None),
+            Some(_) => self.table.admit(duty, epoch, owner).map_err(|why| match why {
+                Why::Old(stands) => Some(stands),
+                Why::Full => None,
+            }),
+        };
+        done.map_err(|stands| {
+            self.refused += 1;
+            let (stands, owner) = stands.map_or((0, String::new()), |s| (s.epoch, s.owner));
+            Refused { duty: duty.to_string(), epoch, stands, owner, count: self.refused }
+        })
+    }
+}
+
+fn sound(fence: &Fence) -> bool {
+    is_name(&fence.duty) && fence.owner.len() <= OWNER && !fence.owner.chars().any(char::is_control)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fence(duty: &str, epoch: u64) -> Fence {
+        Fence { duty: duty.into(), epoch, owner: "a#1".into() }
+    }
+
+    fn epochs(nonce: u64, epoch: u64) -> Epochs {
+        Epochs { nonce, given: vec![fence(PLANS, epoch)] }
+    }
+
+    #[test]
+    fn nobody_is_believed_before_the_nonce_of_this_life_is_answered() {
+        let mut fences = Fences::new(1);
+        let refused = fences.admit(PLANS, Some(&fence(PLANS, 5))).expect_err("not yet");
+        assert_eq!((refused.epoch, refused.stands, refused.count), (5, 0, 1));
+        assert!(!fences.heard(&epochs(fences.nonce() ^ 1, 4)), "another life's nonce");
+        assert!(!fences.heard(&epochs(0, 4)));
+        assert!(fences.admit(PLANS, Some(&fence(PLANS, 5))).is_err());
+        // An old owner was the first to reach it; the council knows better.
+        let nonce = fences.nonce();
+        assert!(fences.heard(&epochs(nonce, 6)));
+        let refused = fences.admit(PLANS, Some(&fence(PLANS, 5))).expect_err("overtaken");
+        assert_eq!(refused.stands, 6);
+        assert!(fences.admit(PLANS, Some(&fence(PLANS, 6))).is_ok());
+        assert!(fences.admit(PLANS, None).is_err(), "nor one of no council any more");
+    }
+
+    #[test]
+    fn what_cannot_be_a_fence_changes_nothing() {
+        let mut fences = Fences::new(2);
+        assert!(fences.admit(PLANS, None).is_ok(), "no council is known of");
+        let nonce = fences.nonce();
+        for bad in [fence("", 1), fence("a b", 1), Fence { owner: "x".repeat(200), ..fence("a", 1) }] {
+            assert!(!fences.heard(&Epochs { nonce, given: vec![bad] }));
+        }
+        let many = (0..DUTIES + 1).map(|k| fence(&format!("d{k}"), 1)).collect();
+        assert!(!fences.heard(&Epochs { nonce, given: many }));
+        assert!(fences.heard(&epochs(nonce, 3)));
+        assert!(fences.admit(PLANS, Some(&fence("other", 9))).is_err(), "another duty's decision");
+        assert!(fences.admit(PLANS, Some(&fence(PLANS, 3))).is_ok());
+    }
+}
--- a/src/bin/frostvale/link.rs
+++ b/src/bin/frostvale/link.rs
@@ -1,6 +1,7 @@
 //! The link to the host's agent: checks come in, decisions go out, and what agents should know of shops.
 
 use crate::ask::{self, CUSTOMERS, WAIT_MOST};
+use crate::fences::{Fences, PLANS};
 use crate::gateway::{Agents, Asker, Gateway, Shared};
 use frostvale::{Level, Name, Request};
 use frostvale_link::VERSION;
@@ -10,8 +11,8 @@
 use frostvale_link::proto::outside_state::Breaker as BreakerWord;
 use frostvale_link::proto::outside_verdict::Code as VerdictWord;
 use frostvale_link::proto::{
-    Check, Decision, Hello, Level as LevelWord, OutsideAsk, OutsideState, OutsideVerdict, Plan, Plans,
-    PlansTaken, Seen, Settle, UseBatch, UseKept, Welcome,
+    Check, Decision, Epochs, Hello, Level as LevelWord, OutsideAsk, OutsideState, OutsideVerdict, Plan,
+    Plans, PlansTaken, Seen, Settle, UseBatch, UseKept, Welcome,
 };
 use frostvale_outside::{Breaker, Counts, Verdict};
 use std::cell::{Cell, RefCell};
@@ -126,6 +127,7 @@
     /// What was last told of each store.
     told: RefCell<HashMap<u64, f64>>,
     revision: Cell<u64>,
+    fences: RefCell<Fences>,
     /// The socket: a last word that no agent takes is left beside it.
     socket: PathBuf,
     /// Set with the last word: nothing that would be use is decided after it.
@@ -159,6 +161,7 @@
             sets: RefCell::default(),
             told: RefCell::default(),
             revision: Cell::new(0),
+            fences: RefCell::new(Fences::new(started_ms)),
             socket,
             ended: Cell::new(false),
         });
@@ -388,6 +391,7 @@
             plans: plans(&gateway),
             classes: conf.classes.iter().map(|c| c.name.clone()).collect(),
             largest_milli: milli(settings.largest),
+            nonce: self.fences.borrow().nonce(),
         }
     }
 
@@ -478,7 +482,29 @@
         }
     }
 
+    fn epochs(&self, _peer: &Rc<Peer>, epochs: Epochs) {
+        if self.fences.borrow_mut().heard(&epochs) {
+            tracing::info!("the council's epochs are known: its decisions count from now on");
+        }
+    }
+
     fn plans(&self, peer: &Rc<Peer>, sent: Plans) {
+        let admitted = self.fences.borrow_mut().admit(PLANS, sent.fence.as_ref());
+        if let Err(refused) = admitted {
+            tracing::warn!(
+                duty = refused.duty,
+                epoch = refused.epoch,
+                stands = refused.stands,
+                "plans of epoch {} are refused: {}",
+                refused.epoch,
+                if refused.stands == 0 {
+                    "what is current is not known here yet"
+                } else {
+                    "a later owner's stand"
+                }
+            );
+            return peer.refused(refused);
+        }
         let mut gateway = self.gateway.borrow_mut();
         // An agent that comes back may know less than another has told meanwhile.
         if sent.revision < self.revision.get() {
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod discovery;
 mod extra;
+mod fences;
 mod gateway;
 mod link;
 mod listing;
