Agents take seats in the council and do the fleet's duties; frostctl duties, council

Rolling up, gaps, retention, publishing plans and exporting use were done by every agent for itself or by nobody. With [council] in its file an agent takes part: members speak gRPC at the listener that is there already, one agent alone is a council of one, and each duty runs at its owner alone, in steps that the record takes as a whole behind their fence. Plans take effect by the owner of publishing; a gatekeeper that has just started is told what is current, as of after its nonce. Without [council] an agent does what it did.

--- a/crates/agent/benches/record.rs
+++ b/crates/agent/benches/record.rs
@@ -5,11 +5,12 @@
 
 use frostvale_record::model::{Batch, Change, Level, Line, Plan as KeptPlan};
 use frostvale_record::{Backend, Op, Place};
+use frostvale_standin::clock::unix_ms;
 use frostvale_standin::formula::Options;
 use frostvale_standin::load::{Pool, Shop};
 use frostvale_standin::postgres::{Login, Postgres};
 use frostvale_standin::resp::Answer;
-use frostvale_standin::town::{Plan, Town, unix_ms};
+use frostvale_standin::town::{Plan, Town};
 use serde_json::json;
 use std::net::Ipv4Addr;
 use std::path::Path;
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -1,5 +1,9 @@
 //! The agent's configuration, a TOML file. Unknown keys are errors; a sample is `deploy/frostagent.toml`.
 
+mod council;
+
+pub use council::{Council, Drill, Duties, Voter};
+
 use frostvale_checks::Mode;
 use frostvale_checks::read::Names;
 use serde::Deserialize;
@@ -15,7 +19,8 @@
     /// The agent's name, for logs.
     #[serde(default = "name")]
     pub name: String,
-    /// The gatekeepers of this host.
+    /// The gatekeepers of this host; an agent of a council may have none.
+    #[serde(default)]
     pub gatekeepers: Vec<Gatekeeper>,
     /// The rate limit service.
     #[serde(default)]
@@ -29,6 +34,15 @@
     /// The store of record.
     #[serde(default)]
     pub record: Option<Record>,
+    /// The council of agents.
+    #[serde(default)]
+    pub council: Option<Council>,
+    /// What this agent does for the fleet, where it is of a council.
+    #[serde(default)]
+    pub duties: Duties,
+    /// For drills and tests.
+    #[serde(default)]
+    pub drill: Drill,
 }
 
 /// The store of record.
@@ -263,8 +277,9 @@
 
     fn check(&self) -> Result<(), String> {
         let bad = |what: &str| Err(what.to_string());
-        if self.gatekeepers.is_empty() || self.gatekeepers.len() > 256 {
-            return bad("gatekeepers: 1 to 256 of them");
+        let least = usize::from(self.council.is_none());
+        if !(least..=256).contains(&self.gatekeepers.len()) {
+            return Err(format!("gatekeepers: {least} to 256 of them"));
         }
         let mut seen = HashSet::new();
         for (k, g) in self.gatekeepers.iter().enumerate() {
@@ -320,6 +335,11 @@
             }
             record.place().check()?;
         }
+        if let Some(council) = &self.council {
+            council.check(&self.name, self.rls.is_some())?;
+        }
+        self.duties.check()?;
+        self.drill.check()?;
         if self.control.as_ref().is_some_and(|c| !c.socket.is_absolute()) {
             return bad("control.socket: an absolute path");
         }
@@ -369,9 +389,57 @@
 
     #[test]
     fn a_bad_file_is_one_line_that_names_the_field() {
+        let voter = |name: &str| format!("[[council.voters]]\nname = \"{name}\"\nat = \"h-{name}:1\"\n");
         let one = "[[gatekeepers]]\nname = \"n1\"\nsocket = \"/run/n1\"\n";
         let bad = [
             ("gatekeepers = []", "gatekeepers: 1 to 256"),
+            ("name = \"a\"\n[council]\nfile = \"c.db\"", "council.file: an absolute path"),
+            ("name = \"a b\"\n[council]\nfile = \"/c.db\"", "council.name"),
+            (
+                "name = \"a\"\n[council]\nfile = \"/c.db\"\nlease_ms = 10",
+                "council.lease_ms: 10; 500 to 600000",
+            ),
+            (
+                "name = \"a\"\n[council]\nfile = \"/c.db\"\ndrift_milli = 900",
+                "council.drift_milli: 900; 0 to 200",
+            ),
+            (
+                "name = \"a\"\n[council]\nfile = \"/c.db\"\nheartbeat_ms = 1000",
+                "council.heartbeat_ms: 1000; 20 to 187",
+            ),
+            (
+                &format!("name = \"a\"\n[council]\nfile = \"/c.db\"\n{}{}", voter("a"), voter("b")),
+                "council.voters: 2 of them",
+            ),
+            (
+                &format!(
+                    "name = \"a\"\n[council]\nfile = \"/c.db\"\n{}{}{}",
+                    voter("a"),
+                    voter("b"),
+                    voter("b")
+                ),
+                "council.voters[2].name",
+            ),
+            (
+                &format!(
+                    "name = \"z\"\n[council]\nfile = \"/c.db\"\n{}{}{}",
+                    voter("a"),
+                    voter("b"),
+                    voter("c")
+                ),
+                "council.voters: z is not among them",
+            ),
+            (
+                &format!(
+                    "name = \"a\"\n[council]\nfile = \"/c.db\"\n{}{}{}",
+                    voter("a"),
+                    voter("b"),
+                    voter("c")
+                ),
+                "[rls] is wanted",
+            ),
+            (&format!("{one}[duties]\nkeep_days = 0"), "duties.keep_days: 1 to 36500"),
+            (&format!("{one}[drill]\nclock_rate_milli = 5"), "drill.clock_rate_milli: 500 to 2000"),
             ("[[gatekeepers]]\nname = \"n1\"\nsocket = \"n1\"", "gatekeepers[0].socket"),
             (&format!("{one}{one}"), "gatekeepers[1].name"),
             (&format!("{one}[rls]\nlisten = \"10.0.0.1:80\""), "rls.listen"),
--- /dev/null
+++ b/crates/agent/src/council.rs
@@ -0,0 +1,426 @@
+//! This agent's seat in the council: the way to other members, its session and its duties, and what gatekeepers are told
+//! of epochs. What is decided, `frostvale-owner` decides; what is agreed on, `frostvale-council`.
+
+use crate::clock::{Clock, unix_ms};
+use crate::config::{self, Tls};
+use crate::duties::{self, Worker};
+use crate::record::Keeper;
+use frostvale_council::wire::{BODY_MOST, KINDS};
+use frostvale_council::{Council, Envelope, Refused, Transport, Whole};
+use frostvale_link::agent::Link;
+use frostvale_link::proto::{Epochs, Fence, Welcome};
+use frostvale_owner::host::Tell;
+use frostvale_owner::registry::Step;
+use frostvale_owner::{Action, Command, Host, Lease, Outcome};
+use frostvale_proto::agent::CouncilMessage;
+use frostvale_proto::agent::council_client::CouncilClient;
+use frostvale_proto::agent::council_server;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasher, RandomState};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint, Identity};
+use tonic::{Request, Response, Status};
+
+/// A session and its duties are looked at this often, besides at each change.
+const TURN: Duration = Duration::from_millis(30);
+/// How long an orderly end waits for duties to be handed over.
+const CLOSE: Duration = Duration::from_secs(3);
+/// A connection to a member comes up within this time.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A message around a body.
+const AROUND: usize = 64 * 1024;
+/// A gatekeeper that started is told what is current; while nobody can say so, it is tried again this often.
+const CONFIRM: Duration = Duration::from_millis(200);
+/// Duties whose decisions gatekeepers take.
+const FOR_GATEKEEPERS: [&str; 1] = [duties::PUBLISH];
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The way to other members: gRPC, at the agents' own listeners.
+struct Ways {
+    tls: Option<ClientTlsConfig>,
+    /// By the member's own address: where this agent reaches it.
+    via: BTreeMap<String, String>,
+    channels: Mutex<HashMap<String, Channel>>,
+}
+
+impl Ways {
+    fn new(config: &config::Council, tls: Option<&Tls>) -> Result<Ways, String> {
+        let read = |field: &str, path: &std::path::Path| {
+            std::fs::read(path).map_err(|e| format!("rls.tls.{field}: cannot read {}: {e}", path.display()))
+        };
+        let tls = tls.map(|tls| {
+            let identity = Identity::from_pem(read("cert", &tls.cert)?, read("key", &tls.key)?);
+            let ca = Certificate::from_pem(read("client_ca", &tls.client_ca)?);
+            Ok::<_, String>(ClientTlsConfig::new().identity(identity).ca_certificate(ca))
+        });
+        let at = |name: &String| config.voters.iter().find(|v| v.name == *name).map(|v| v.at.clone());
+        let via = config.via.iter().map(|(name, to)| (at(name).unwrap_or_else(|| name.clone()), to.clone()));
+        Ok(Ways { tls: tls.transpose()?, via: via.collect(), channels: Mutex::default() })
+    }
+
+    fn channel(&self, at: &str) -> Result<Channel, String> {
+        let mut channels = lock(&self.channels);
+        if let Some(known) = channels.get(at) {
+            return Ok(known.clone());
+        }
+        let to = self.via.get(at).map_or(at, String::as_str);
+        let scheme = if self.tls.is_some() { "https" } else { "http" };
+        let endpoint = Endpoint::from_shared(format!("{scheme}://{to}"))
+            .map_err(|e| format!("{to}: {e}"))?
+            .connect_timeout(CONNECT)
+            .tcp_nodelay(true);
+        let endpoint = match &self.tls {
+            Some(tls) => endpoint.tls_config(tls.clone()).map_err(|e| format!("{to}: {e}"))?,
+            None => endpoint,
+        };
+        // Members come and go: those that are gone need no place.
+        if channels.len() >= 64 {
+            channels.clear();
+        }
+        let channel = endpoint.connect_lazy();
+        channels.insert(at.to_string(), channel.clone());
+        Ok(channel)
+    }
+}
+
+fn message(envelope: Envelope) -> CouncilMessage {
+    let Envelope { version, fleet, generation, from, to, writes, heard, kind, body } = envelope;
+    let kind = KINDS.iter().position(|k| *k == kind).map_or(0, |k| k as u32 + 1);
+    CouncilMessage { version, fleet, generation, from, to, writes, heard, kind, body }
+}
+
+fn envelope(message: CouncilMessage) -> Result<Envelope, Refused> {
+    let CouncilMessage { version, fleet, generation, from, to, writes, heard, kind, body } = message;
+    let known = usize::try_from(kind).ok().and_then(|k| KINDS.get(k.wrapping_sub(1)).copied());
+    let kind = known.ok_or_else(|| Refused::Unreadable(format!("kind {kind}")))?;
+    Ok(Envelope { version, fleet, generation, from, to, writes, heard, kind, body })
+}
+
+#[tonic::async_trait]
+impl Transport for Ways {
+    async fn call(&self, at: &str, asked: Envelope) -> Result<Envelope, String> {
+        let mut client = CouncilClient::new(self.channel(at)?)
+            .max_decoding_message_size(BODY_MOST + AROUND)
+            .max_encoding_message_size(BODY_MOST + AROUND);
+        let answer = client.tell(message(asked)).await.map_err(|e| e.message().to_string())?;
+        envelope(answer.into_inner()).map_err(|e| e.to_string())
+    }
+}
+
+/// What other members ask.
+pub struct Door(pub Arc<Council>);
+
+impl Door {
+    /// The service, with its bounds.
+    #[must_use]
+    pub fn service(self) -> council_server::CouncilServer<Door> {
+        council_server::CouncilServer::new(self)
+            .max_decoding_message_size(BODY_MOST + AROUND)
+            .max_encoding_message_size(BODY_MOST + AROUND)
+    }
+}
+
+#[tonic::async_trait]
+impl council_server::Council for Door {
+    async fn tell(&self, asked: Request<CouncilMessage>) -> Result<Response<CouncilMessage>, Status> {
+        let answer = match envelope(asked.into_inner()) {
+            Ok(asked) => self.0.serve(asked).await,
+            Err(e) => Err(e),
+        };
+        match answer {
+            Ok(answer) => Ok(Response::new(message(answer))),
+            Err(e @ Refused::Stopped(_)) => Err(Status::unavailable(e.to_string())),
+            Err(e) => Err(Status::failed_precondition(e.to_string())),
+        }
+    }
+}
+
+/// A runner of a duty: told to end by this.
+type Ending = watch::Sender<bool>;
+
+/// This agent's seat.
+pub struct Seat {
+    /// The council.
+    pub council: Arc<Council>,
+    host: Mutex<Host>,
+    clock: Clock,
+    patience: Duration,
+    runners: Mutex<HashMap<(String, u64), Ending>>,
+    worker: Arc<Worker>,
+    wake: Notify,
+    links: OnceLock<Vec<Link>>,
+}
+
+impl Seat {
+    /// Takes part, and does what duties come to it.
+    ///
+    /// # Errors
+    /// With one line on what can't be used.
+    pub fn start(
+        config: &config::Config,
+        part: &config::Council,
+        at: &str,
+        keeper: Option<Arc<Keeper>>,
+    ) -> Result<Arc<Seat>, String> {
+        let tls = config.rls.as_ref().and_then(|r| r.tls.as_ref());
+        let ways = Arc::new(Ways::new(part, tls)?);
+        let council =
+            Council::start(part.member(&config.name, at), ways).map_err(|e| format!("council: {e}"))?;
+        let clock = Clock::new(config.drill.clock_rate_milli);
+        let worker = Worker::new(config, keeper, clock);
+        let drawn = RandomState::new();
+        let (nonce, seed) = (drawn.hash_one(&config.name), drawn.hash_one((&config.name, 1)));
+        let host = Host::new(&config.name, &part.zone, &worker.duties(), part.settings(), nonce, seed);
+        let seat = Arc::new(Seat {
+            council,
+            host: Mutex::new(host),
+            clock,
+            patience: Duration::from_millis(part.lease_ms),
+            runners: Mutex::default(),
+            worker: Arc::new(worker),
+            wake: Notify::new(),
+            links: OnceLock::new(),
+        });
+        tokio::spawn(seat.clone().go_on());
+        Ok(seat)
+    }
+
+    async fn go_on(self: Arc<Self>) {
+        let mut seen = self.council.watch();
+        let mut told = 0;
+        loop {
+            tokio::select! {
+                () = sleep(TURN) => {}
+                () = self.wake.notified() => {}
+                changed = seen.changed() => if changed.is_err() {
+                    return;
+                },
+            }
+            let whole = seen.borrow_and_update().clone();
+            let now = self.clock.now();
+            let actions = {
+                let mut host = lock(&self.host);
+                host.set_wall(unix_ms().saturating_sub_unsigned(now));
+                host.turn(now, &whole.owner)
+            };
+            self.act(actions);
+            let given = given(&whole);
+            let newest = given.iter().map(|f| f.epoch).max().unwrap_or(0);
+            if newest > told {
+                told = newest;
+                for link in self.links.get().into_iter().flatten() {
+                    link.epochs(Epochs { nonce: 0, given: given.clone() });
+                }
+            }
+        }
+    }
+
+    fn act(self: &Arc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Propose(command) => drop(tokio::spawn(self.clone().propose(command))),
+                Action::Begin(lease) => self.begin(lease),
+                Action::Stop { duty, epoch } => {
+                    let ending = lock(&self.runners).get(&(duty.clone(), epoch)).cloned();
+                    match ending {
+                        Some(ending) => drop(ending.send(true)),
+                        None => {
+                            let more = lock(&self.host).stopped(self.clock.now(), &duty, epoch);
+                            self.act(more);
+                        }
+                    }
+                }
+                Action::Tell(tell) => say(&tell),
+            }
+        }
+    }
+
+    async fn propose(self: Arc<Self>, command: Command) {
+        let outcome = self.council.propose(command.clone(), self.patience).await.ok();
+        let now = self.clock.now();
+        let more = lock(&self.host).answered(now, &command, outcome.as_ref());
+        self.act(more);
+        self.wake.notify_one();
+    }
+
+    /// Does a duty for as long as its lease holds and nobody ends it.
+    fn begin(self: &Arc<Self>, lease: Lease) {
+        let (ending, ended) = watch::channel(false);
+        let key = (lease.duty().to_string(), lease.epoch());
+        // After a lapse the same epoch may come again while its last step still ends.
+        if let Some(old) = lock(&self.runners).insert(key, ending) {
+            let _ = old.send(true);
+        }
+        tokio::spawn(self.clone().run(lease, ended));
+    }
+
+    async fn run(self: Arc<Self>, lease: Lease, mut ended: watch::Receiver<bool>) {
+        let (duty, epoch) = (lease.duty().to_string(), lease.epoch());
+        let mut count = 0;
+        let mut failures = 0;
+        let memory = Arc::default();
+        while !*ended.borrow() && lease.left(self.clock.now()).is_ok() {
+            let step = tokio::spawn(self.worker.clone().step(lease.clone(), Arc::clone(&memory)));
+            let pause = match step.await {
+                Ok(Ok(done)) => {
+                    (count, failures) = (count + 1, 0);
+                    let at_ms = u64::try_from(unix_ms()).unwrap_or(0);
+                    let next_ms = at_ms + u64::try_from(done.again.as_millis()).unwrap_or(0);
+                    let duty = duty.clone();
+                    lock(&self.host).done(Step { duty, epoch, count, at_ms, next_ms, note: done.note });
+                    done.again
+                }
+                Ok(Err(duties::Fail::Lapsed)) => TURN,
+                Ok(Err(duties::Fail::Fenced { stands, by })) => {
+                    tracing::warn!(
+                        duty,
+                        epoch,
+                        stands,
+                        "duty {duty}: epoch {epoch} was refused, {stands} of {by} stands"
+                    );
+                    let more = lock(&self.host).fenced(self.clock.now(), &duty, epoch, stands);
+                    self.act(more);
+                    self.patience
+                }
+                Ok(Err(duties::Fail::Failed(why))) => {
+                    failures += 1;
+                    tracing::warn!(
+                        duty,
+                        epoch,
+                        reason = why,
+                        "duty {duty}: a step failed: {why}; it is tried again"
+                    );
+                    (TURN * 10 * failures).min(Duration::from_secs(5))
+                }
+                Err(crash) => {
+                    let said = what_panicked(crash);
+                    tracing::error!(duty, epoch, reason = said, "duty {duty}: a step crashed: {said}");
+                    self.over(&duty, epoch);
+                    let more = lock(&self.host).crashed(self.clock.now(), &duty, epoch, &said);
+                    return self.act(more);
+                }
+            };
+            tokio::select! {
+                () = sleep(pause) => {}
+                _ = ended.wait_for(|e| *e) => {}
+            }
+        }
+        self.over(&duty, epoch);
+        let more = lock(&self.host).stopped(self.clock.now(), &duty, epoch);
+        self.act(more);
+        self.wake.notify_one();
+    }
+
+    fn over(&self, duty: &str, epoch: u64) {
+        lock(&self.runners).remove(&(duty.to_string(), epoch));
+    }
+
+    /// These are the gatekeepers of this host.
+    pub fn set_links(&self, links: Vec<Link>) {
+        let _ = self.links.set(links);
+    }
+
+    /// A gatekeeper is here: it is told what is current, as of now or later, and then what was decided.
+    pub async fn welcomed(self: Arc<Self>, link: Link, welcome: Arc<Welcome>, keeper: Option<Arc<Keeper>>) {
+        loop {
+            if link.welcome().is_none_or(|w| w.nonce != welcome.nonce) {
+                return;
+            }
+            if let Ok(whole) = self.council.current(self.patience).await {
+                link.epochs(Epochs { nonce: welcome.nonce, given: given(&whole) });
+                if let Some(plans) = keeper.and_then(|k| k.plans()) {
+                    link.plans(plans);
+                }
+                return;
+            }
+            sleep(CONFIRM).await;
+        }
+    }
+
+    /// Ends in order: duties go to others before this agent does.
+    pub async fn close(self: &Arc<Self>) {
+        let until = tokio::time::Instant::now() + CLOSE;
+        let mut seen = self.council.watch();
+        while tokio::time::Instant::now() < until {
+            let whole = seen.borrow_and_update().clone();
+            let (done, actions) = lock(&self.host).close(self.clock.now(), &whole.owner);
+            self.act(actions);
+            if done {
+                return;
+            }
+            tokio::select! {
+                () = sleep(TURN) => {}
+                _ = seen.changed() => {}
+            }
+        }
+        tracing::warn!("ends with duties that nobody has taken: they are free once its session was silent");
+    }
+
+    /// Has an operator's wish carried out.
+    ///
+    /// # Errors
+    /// With why it was not.
+    pub async fn wish(&self, command: Command) -> Result<(), String> {
+        match self.council.propose(command, self.patience).await.map_err(|e| e.to_string())? {
+            Outcome::Refused(why) => Err(why.to_string()),
+            _ => Ok(()),
+        }
+    }
+
+    /// All that is agreed on: as it is now, or as this agent last heard.
+    pub async fn known(&self) -> (Arc<Whole>, bool) {
+        match self.council.current(Duration::from_millis(800)).await {
+            Ok(whole) => (whole, true),
+            Err(_) => (self.council.watch().borrow().clone(), false),
+        }
+    }
+}
+
+/// What gatekeepers are told.
+fn given(whole: &Whole) -> Vec<Fence> {
+    let of = |name: &&str| {
+        let duty = whole.owner.duties.get(*name).filter(|d| d.epoch > 0)?;
+        let owner = duty.owner.as_ref().map_or(String::new(), ToString::to_string);
+        Some(Fence { duty: (*name).to_string(), epoch: duty.epoch, owner })
+    };
+    FOR_GATEKEEPERS.iter().filter_map(of).collect()
+}
+
+fn what_panicked(crash: tokio::task::JoinError) -> String {
+    match crash.try_into_panic() {
+        Ok(said) => match said.downcast::<String>() {
+            Ok(text) => *text,
+            Err(said) => said.downcast::<&str>().map_or("it panicked".into(), |t| (*t).to_string()),
+        },
+        Err(other) => other.to_string(),
+    }
+}
+
+fn say(tell: &Tell) {
+    match tell {
+        Tell::Owns { duty, epoch } => tracing::info!(duty, epoch, "owns duty {duty}, epoch {epoch}"),
+        Tell::Left { duty, epoch, why } => {
+            tracing::info!(duty, epoch, reason = why, "leaves duty {duty}, epoch {epoch}: {why}");
+        }
+        Tell::Lapsed { duties } => tracing::warn!(
+            duties,
+            "this agent's lease ran out by its own clock: {duties} duties are stopped; was it stopped, or cut off from the \
+             council?"
+        ),
+        Tell::Ended => tracing::warn!("others have ended this agent's session: it begins another"),
+        Tell::Silent(owner) => {
+            tracing::warn!(agent = %owner, "{owner} was silent for too long: its session is ended")
+        }
+        Tell::Aside { duty, said } => tracing::error!(
+            duty,
+            reason = said,
+            "duty {duty} is set aside ({said}): mend it, then frostctl duties resume {duty} --why ..."
+        ),
+    }
+}
--- a/crates/agent/src/fleet.rs
+++ b/crates/agent/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The gatekeepers of this host: a link to each, what they say of the tier, and who is asked.
 
 use crate::config::Config;
+use crate::council::Seat;
 use crate::outside::Outside;
 use crate::record::{Came, Keeper};
 use frostvale_checks::read::Ask;
@@ -87,6 +88,7 @@
         config: &Config,
         outside: Option<Arc<Outside>>,
         record: Option<(Arc<Keeper>, mpsc::Receiver<Came>)>,
+        seat: Option<&Arc<Seat>>,
     ) -> Arc<Fleet> {
         let rls = config.rls.clone().unwrap_or_default();
         let mut members = Vec::new();
@@ -115,6 +117,9 @@
             up: watch::Sender::new(0),
             default_set: (rls.default_set.first, rls.default_set.spread),
         });
+        if let Some(seat) = seat {
+            seat.set_links(fleet.members.iter().map(|m| m.link.clone()).collect());
+        }
         let keeper = record.map(|(keeper, taken)| {
             let links = fleet
                 .members
@@ -127,7 +132,8 @@
         });
         for (k, news) in heard.into_iter().enumerate() {
             let span = tracing::debug_span!("link", instance = fleet.members[k].name);
-            tokio::spawn(fleet.clone().hear(k, news, outside.clone(), keeper.clone()).instrument(span));
+            let hear = fleet.clone().hear(k, news, outside.clone(), keeper.clone(), seat.cloned());
+            tokio::spawn(hear.instrument(span));
         }
         fleet
     }
@@ -138,6 +144,7 @@
         mut news: mpsc::Receiver<News>,
         outside: Option<Arc<Outside>>,
         keeper: Option<Arc<Keeper>>,
+        seat: Option<Arc<Seat>>,
     ) {
         let member = self.members[k].clone();
         let name = &member.name;
@@ -151,6 +158,10 @@
                     if let Some(keeper) = &keeper {
                         keeper.up(k, &welcome).await;
                     }
+                    if let Some(seat) = &seat {
+                        let (link, keeper) = (member.link.clone(), keeper.clone());
+                        tokio::spawn(seat.clone().welcomed(link, welcome, keeper));
+                    }
                 }
                 News::Down(why) => {
                     if let Some(keeper) = &keeper {
@@ -203,6 +214,17 @@
                         *self.tier.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(tier);
                     }
                 }
+                News::Refused(refused) => tracing::warn!(
+                    instance = name,
+                    duty = refused.duty,
+                    epoch = refused.epoch,
+                    stands = refused.stands,
+                    "{name} refuses what was decided under epoch {} of {}: {} {} stands",
+                    refused.epoch,
+                    refused.duty,
+                    refused.stands,
+                    refused.owner
+                ),
                 News::State(state) => {
                     tracing::info!("{name}: the breaker before the outside service is {}", word(&state));
                     lock(&member.state).1 = Some(state);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,8 +4,12 @@
 //! gatekeepers that may decide and puts the answer together; the gatekeepers' module holds the quotas. It may die at
 //! any instant without a RESP2 request noticing.
 
+pub mod clock;
 pub mod config;
+pub mod council;
+pub mod duties;
 pub mod fleet;
+pub mod operators;
 pub mod outside;
 pub mod record;
 pub mod rls;
--- /dev/null
+++ b/crates/agent/src/operators.rs
@@ -0,0 +1,188 @@
+//! What operators ask over the control socket.
+
+use crate::clock::unix_ms;
+use crate::council::Seat;
+use crate::fleet::Fleet;
+use crate::outside::Outside;
+use crate::record::Keeper;
+use crate::rls::Counts;
+use frostvale_council::Admin;
+use frostvale_council::member::ADMIN;
+use frostvale_owner::Command;
+use frostvale_owner::registry::Duty;
+use frostvale_proto::agent::agent_server::Agent;
+use frostvale_proto::agent::duty_change::What;
+use frostvale_proto::agent::{
+    CouncilChange, CouncilRequest, CouncilResponse, DutiesRequest, DutiesResponse, Duty as DutyWord,
+    DutyChange, Member, Outside as OutsideStatus, OwnerChange, Said, Session, StatusRequest, StatusResponse,
+};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tonic::{Request, Response, Status};
+
+/// Answers them.
+pub struct Operators {
+    /// This agent.
+    pub name: String,
+    /// The fleet's name, for the council.
+    pub fleet_name: String,
+    /// Its gatekeepers.
+    pub fleet: Arc<Fleet>,
+    /// Its calls.
+    pub counts: Arc<Counts>,
+    /// The record.
+    pub keeper: Option<Arc<Keeper>>,
+    /// The outside service.
+    pub outside: Option<Arc<Outside>>,
+    /// The council.
+    pub seat: Option<Arc<Seat>>,
+}
+
+impl Operators {
+    fn seat(&self) -> Result<&Arc<Seat>, Status> {
+        self.seat.as_ref().ok_or_else(|| {
+            Status::failed_precondition("this agent is of no council: its file has no [council] section")
+        })
+    }
+}
+
+fn duty(name: &str, duty: &Duty, beat: u64) -> DutyWord {
+    let (state, why) = match (&duty.paused, &duty.aside, &duty.owner) {
+        (Some((by, why)), ..) => ("paused", format!("{by}: {why}")),
+        (_, Some(said), _) => ("set aside", said.clone()),
+        (.., Some(_)) => ("owned", String::new()),
+        _ => ("free", String::new()),
+    };
+    let step = duty.step.clone().filter(|s| s.epoch == duty.epoch);
+    DutyWord {
+        name: name.to_string(),
+        owner: duty.owner.as_ref().map_or(String::new(), ToString::to_string),
+        epoch: duty.epoch,
+        since_ms: duty.since_ms,
+        state: state.into(),
+        why,
+        wanted: duty.wanted.clone().unwrap_or_default(),
+        steps: step.as_ref().map_or(0, |s| s.count),
+        step_ms: step.as_ref().map_or(0, |s| s.at_ms),
+        next_ms: step.as_ref().map_or(0, |s| s.next_ms),
+        note: step.map_or(String::new(), |s| s.note),
+        beat,
+    }
+}
+
+#[tonic::async_trait]
+impl Agent for Operators {
+    async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusResponse>, Status> {
+        let outside = self.outside.as_ref().map_or_else(OutsideStatus::default, |o| {
+            let get = |count: &std::sync::atomic::AtomicU64| count.load(Ordering::Relaxed);
+            OutsideStatus {
+                configured: true,
+                asked: get(&o.counts.asked),
+                ok: get(&o.counts.ok),
+                over: get(&o.counts.over),
+                failed: get(&o.counts.failed),
+                in_hand: o.in_hand(),
+            }
+        });
+        Ok(Response::new(StatusResponse {
+            name: self.name.clone(),
+            gatekeepers: self.fleet.status(),
+            calls: Some(self.counts.status()),
+            outside: Some(outside),
+            sets: self.fleet.sets(),
+            record: self.keeper.as_ref().map(|k| k.status()),
+        }))
+    }
+
+    async fn duties(&self, asked: Request<DutiesRequest>) -> Result<Response<DutiesResponse>, Status> {
+        let DutiesRequest { duty: only, history } = asked.into_inner();
+        let (whole, current) = self.seat()?.known().await;
+        let state = &whole.owner;
+        if !only.is_empty() && !state.duties.contains_key(&only) {
+            return Err(Status::not_found(format!("there is no duty {only:?}")));
+        }
+        let fits = |name: &str| only.is_empty() || only == name;
+        let beat = |d: &Duty| d.owner.as_ref().and_then(|o| state.sessions.get(o)).map_or(0, |s| s.number);
+        let duties = state.duties.iter().filter(|(n, _)| fits(n)).map(|(n, d)| duty(n, d, beat(d))).collect();
+        let change = |c: &frostvale_owner::registry::Change| OwnerChange {
+            duty: c.duty.clone(),
+            epoch: c.epoch,
+            who: c.who.clone(),
+            what: c.what.clone(),
+            at_ms: c.at_ms,
+        };
+        let history = match history {
+            true => state.history.iter().filter(|c| fits(&c.duty)).map(change).collect(),
+            false => Vec::new(),
+        };
+        let session =
+            |(owner, s): (&frostvale_owner::fence::Owner, &frostvale_owner::registry::Session)| Session {
+                owner: owner.to_string(),
+                zone: s.zone.clone(),
+                beat: s.number,
+                duties: state.load(owner) as u64,
+            };
+        let sessions = state.sessions.iter().map(session).collect();
+        Ok(Response::new(DutiesResponse { duties, history, sessions, current }))
+    }
+
+    async fn change_duty(&self, asked: Request<DutyChange>) -> Result<Response<Said>, Status> {
+        let asked = asked.into_inner();
+        let what = asked.what();
+        let DutyChange { duty, to, by, why, .. } = asked;
+        let at_ms = u64::try_from(unix_ms()).unwrap_or(0);
+        let (command, text) = match what {
+            What::Move => {
+                let text = format!("{duty} goes to {to}");
+                (Command::Move { duty, to, by, at_ms }, text)
+            }
+            What::Pause => {
+                let text = format!("{duty} is paused");
+                (Command::Pause { duty, by, why, at_ms }, text)
+            }
+            What::Resume => {
+                let text = format!("{duty} goes on");
+                (Command::Resume { duty, by, why, at_ms }, text)
+            }
+            What::None => return Err(Status::invalid_argument("what: move, pause or resume")),
+        };
+        self.seat()?.wish(command).await.map_err(Status::failed_precondition)?;
+        Ok(Response::new(Said { text }))
+    }
+
+    async fn council(&self, _: Request<CouncilRequest>) -> Result<Response<CouncilResponse>, Status> {
+        let s = self.seat()?.council.status();
+        let member = |m: frostvale_council::member::Seen| Member {
+            id: m.id,
+            name: m.name,
+            at: m.at,
+            votes: m.votes,
+            matched: m.matched,
+        };
+        Ok(Response::new(CouncilResponse {
+            id: s.id,
+            state: s.state,
+            problem: s.problem,
+            leader: s.leader,
+            term: s.term,
+            last: s.last,
+            applied: s.applied,
+            members: s.members.into_iter().map(member).collect(),
+            file_bytes: s.file_bytes,
+            refused: s.refused,
+            generation: s.generation,
+            fleet: self.fleet_name.clone(),
+        }))
+    }
+
+    async fn change_council(&self, asked: Request<CouncilChange>) -> Result<Response<Said>, Status> {
+        let CouncilChange { add, remove, at } = asked.into_inner();
+        let admin = match (add.is_empty(), remove.is_empty()) {
+            (false, true) => Admin::Add { name: add, at },
+            (true, false) => Admin::Remove { name: remove },
+            _ => return Err(Status::invalid_argument("add, remove: one of the two")),
+        };
+        let done = self.seat()?.council.change(admin, ADMIN).await;
+        done.map(|text| Response::new(Said { text })).map_err(|e| Status::failed_precondition(e.to_string()))
+    }
+}
--- a/crates/agent/src/record.rs
+++ b/crates/agent/src/record.rs
@@ -5,12 +5,14 @@
 //! when to send (`upload`), and what a gatekeeper that comes back may be given (`restore`).
 
 mod ends;
+mod plans;
 
+use crate::clock::unix_ms;
 use crate::config;
 use frostvale::least_sliced;
 use frostvale_checks::Tier;
 use frostvale_link::agent::Link;
-use frostvale_link::proto::{Level as LevelWord, Plan as PlanWord, Plans, UseBatch, Welcome};
+use frostvale_link::proto::{Level as LevelWord, UseBatch, Welcome};
 use frostvale_proto::agent::Record as Status;
 use frostvale_record::model::{Batch, Gap, Level, Line, Snapshot};
 use frostvale_record::restore::{End, Figures, restored};
@@ -21,7 +23,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
@@ -42,12 +44,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Unix time in ms by this host's clock.
-fn unix_ms() -> i64 {
-    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    i64::try_from(unix.as_millis()).unwrap_or(i64::MAX)
-}
-
 /// One gatekeeper as the record sees it.
 #[derive(Default)]
 struct Life {
@@ -113,6 +109,8 @@
     /// Batches that came and are not in the spool yet.
     taking: AtomicUsize,
     taking_up: tokio::sync::Mutex<()>,
+    /// Plans take effect by the fleet's owner of that duty, not by each agent for itself.
+    governed: AtomicBool,
     said_left: Mutex<Option<Instant>>,
 }
 
@@ -157,6 +155,7 @@
             pushed: AtomicI64::new(-1),
             taking: AtomicUsize::new(0),
             taking_up: tokio::sync::Mutex::default(),
+            governed: AtomicBool::new(false),
             said_left: Mutex::default(),
         };
         Ok((Arc::new(keeper), taken))
@@ -521,24 +520,6 @@
 
     // ---- plans ----
 
-    /// The plans that are in effect by now.
-    fn plans(&self) -> Option<Plans> {
-        let snapshot = lock(&self.snapshot);
-        let snapshot = snapshot.as_ref()?;
-        let now_ms = unix_ms();
-        let units = |milli: i64| u64::try_from(milli).unwrap_or(0);
-        let plans = snapshot.plans.iter().filter(|kept| kept.it.from_ms <= now_ms).map(|kept| PlanWord {
-            name: kept.it.name.clone(),
-            rate_milli: units(kept.it.rate_milli),
-            burst_milli: units(kept.it.burst_milli),
-            ceiling_rate_milli: units(kept.it.ceiling_rate_milli),
-            ceiling_burst_milli: units(kept.it.ceiling_burst_milli),
-            ceiling_slack_milli: units(kept.it.ceiling_slack_milli),
-            open: u32::try_from(kept.it.open).unwrap_or(0),
-        });
-        Some(Plans { revision: u64::try_from(snapshot.revision).unwrap_or(0), plans: plans.collect() })
-    }
-
     /// Reads the record again whenever it has changed, and now and then; keeps levels, gaps and lives there.
     async fn look(self: Arc<Self>) {
         let mut sent = None;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -1,24 +1,23 @@
 //! Listeners: the rate limit service with gRPC health and reflection, and the control socket.
 
 use crate::config::{Config, Tls};
+use crate::council::{Door, Seat};
 use crate::fleet::Fleet;
+use crate::operators::Operators;
 use crate::outside::Outside;
 use crate::record::Keeper;
-use crate::rls::{Counts, Service};
-use frostvale_proto::agent::agent_server::{Agent, AgentServer};
-use frostvale_proto::agent::{Outside as OutsideStatus, StatusRequest, StatusResponse};
+use crate::rls::Service;
+use frostvale_proto::agent::agent_server::AgentServer;
 use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_service_server::RateLimitServiceServer;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tokio::sync::watch;
 use tokio_stream::wrappers::UnixListenerStream;
 use tonic::transport::server::TcpIncoming;
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
-use tonic::{Request, Response, Status};
 
 /// The longest call that is read, in bytes: more than the most descriptors of the most entries fill.
 const CALL_MOST: usize = 512 * 1024;
@@ -56,15 +55,29 @@
         None => None,
     };
     let keeper = record.as_ref().map(|(keeper, _)| keeper.clone());
-    let fleet = Fleet::start(&config, outside.clone(), record);
+    crate::clock::set_off(&config.drill);
+    let at = listener.as_ref().and_then(|l| l.local_addr().ok());
+    let seat = match &config.council {
+        Some(part) => {
+            let at = at.map_or(String::new(), |at| at.to_string());
+            Some(Seat::start(&config, part, &at, keeper.clone())?)
+        }
+        None => None,
+    };
+    if let Some(keeper) = keeper.as_ref().filter(|_| seat.is_some()) {
+        keeper.govern();
+    }
+    let fleet = Fleet::start(&config, outside.clone(), record, seat.as_ref());
     let service = Service::new(fleet.clone(), rls.clone().unwrap_or_default());
     if let Some(listener) = control {
         let status = Operators {
             name: config.name.clone(),
             fleet: fleet.clone(),
             counts: service.counts(),
+            fleet_name: config.council.as_ref().map_or(String::new(), |c| c.fleet.clone()),
             keeper: keeper.clone(),
             outside,
+            seat: seat.clone(),
         };
         let mut stop = stop.clone();
         tokio::spawn(async move {
@@ -78,12 +91,22 @@
             }
         });
     }
-    let at = listener.as_ref().and_then(|l| l.local_addr().ok());
     ready(at);
+    // Others are heard until the duties of this agent are theirs.
+    if let Some(seat) = seat.clone() {
+        let (late, stopped) = watch::channel(false);
+        let mut asked = std::mem::replace(&mut stop, stopped);
+        tokio::spawn(async move {
+            let _ = asked.wait_for(|stop| *stop).await;
+            seat.close().await;
+            let _ = late.send(true);
+        });
+    }
     let served = match (listener, rls) {
         (Some(listener), Some(_)) => {
             let mut stopped = stop.clone();
-            let served = serve_rls(listener, tls, service, fleet, stop);
+            let door = seat.as_ref().map(|s| Door(s.council.clone()));
+            let served = serve_rls(listener, tls, service, door, fleet, stop);
             tokio::pin!(served);
             tokio::select! {
                 ended = &mut served => ended,
@@ -105,6 +128,9 @@
     {
         keeper.stop().await;
     }
+    if let Some(seat) = seat {
+        seat.council.shutdown().await;
+    }
     served
 }
 
@@ -112,6 +138,7 @@
     listener: TcpListener,
     tls: Option<ServerTlsConfig>,
     service: Service,
+    door: Option<Door>,
     fleet: Arc<Fleet>,
     mut stop: watch::Receiver<bool>,
 ) -> Result<(), String> {
@@ -146,6 +173,7 @@
         .add_service(RateLimitServiceServer::new(service).max_decoding_message_size(CALL_MOST))
         .add_service(health)
         .add_service(reflection)
+        .add_optional_service(door.map(Door::service))
         .serve_with_incoming_shutdown(TcpIncoming::from(listener).with_nodelay(Some(true)), async move {
             let _ = stop.wait_for(|stop| *stop).await;
         })
@@ -167,40 +195,6 @@
     frostvale_link::socket::listen(path).map_err(|e| format!("control.{e}"))
 }
 
-/// What operators ask.
-struct Operators {
-    name: String,
-    fleet: Arc<Fleet>,
-    counts: Arc<Counts>,
-    keeper: Option<Arc<Keeper>>,
-    outside: Option<Arc<Outside>>,
-}
-
-#[tonic::async_trait]
-impl Agent for Operators {
-    async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusResponse>, Status> {
-        let outside = self.outside.as_ref().map_or_else(OutsideStatus::default, |o| {
-            let get = |count: &std::sync::atomic::AtomicU64| count.load(Ordering::Relaxed);
-            OutsideStatus {
-                configured: true,
-                asked: get(&o.counts.asked),
-                ok: get(&o.counts.ok),
-                over: get(&o.counts.over),
-                failed: get(&o.counts.failed),
-                in_hand: o.in_hand(),
-            }
-        });
-        Ok(Response::new(StatusResponse {
-            name: self.name.clone(),
-            gatekeepers: self.fleet.status(),
-            calls: Some(self.counts.status()),
-            outside: Some(outside),
-            sets: self.fleet.sets(),
-            record: self.keeper.as_ref().map(|k| k.status()),
-        }))
-    }
-}
-
 /// A client of an agent's control socket.
 ///
 /// # Errors
--- a/crates/agent/tests/record.rs
+++ b/crates/agent/tests/record.rs
@@ -5,10 +5,11 @@
 
 use frostvale_record::model::{Change, Plan as KeptPlan};
 use frostvale_record::{Backend, Op, Reply};
+use frostvale_standin::clock::unix_ms;
 use frostvale_standin::formula::Options;
 use frostvale_standin::load::{Pool, Shop, call, rls_client};
 use frostvale_standin::resp::Answer;
-use frostvale_standin::town::{Plan, Town, unix_ms};
+use frostvale_standin::town::{Plan, Town};
 use kept::{Kept, Load, SHOP, WAIT, booked, ledger, plans, served, shop, status, until};
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,7 +1,10 @@
 //! `frostctl`: the operators' command line.
 
 mod ask;
+mod council;
 mod dev;
+mod duties;
+mod export;
 mod load;
 mod record;
 mod sim;
@@ -38,6 +41,12 @@
     Ask(ask::Ask),
     /// The store of record: plans, use, audit trail, backup.
     Record(record::Args),
+    /// Duties of the fleet: who owns them, and wishes about them.
+    Duties(duties::Args),
+    /// The council of agents: its members, and coming back when the majority is gone for good.
+    Council(council::Args),
+    /// The export of use by day.
+    Export(export::Args),
     /// Simulates fleets of gatekeepers in virtual time, and watches the rules.
     Sim(sim::Args),
     /// Starts a program that ends with its parent.
@@ -58,6 +67,9 @@
         Command::Load(args) => block_on(load::run(args)),
         Command::Sim(args) => sim::run(args),
         Command::Record(args) => block_on(record::run(args)),
+        Command::Duties(args) => block_on(duties::run(args)),
+        Command::Council(args) => block_on(council::run(args)),
+        Command::Export(args) => export::run(args),
         Command::Status(args) => block_on(status::run(args)),
         Command::Check(args) => block_on(ask::check(args)),
         Command::Ask(args) => block_on(ask::ask(args)),
--- a/crates/standin/src/formula.rs
+++ b/crates/standin/src/formula.rs
@@ -125,7 +125,7 @@
     ) -> std::io::Result<Formula> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let at = listener.local_addr()?;
-        let boot_ms = if cold { crate::town::unix_ms() } else { 0 };
+        let boot_ms = if cold { crate::clock::unix_ms() } else { 0 };
         let (faults, books) = (Arc::new(Faults::default()), Arc::new(Mutex::new(Books::default())));
         let state = Arc::new(State {
             cores: Semaphore::new(options.cores),
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -17,6 +17,14 @@
     Open,
     /// Connections come up and stay, and nothing passes in either direction.
     Held,
+    /// What is on its way toward the far end is held, and answers pass.
+    HeldUp,
+    /// Answers are held, and what is on its way toward the far end passes.
+    HeldDown,
+    /// Whatever passes takes so many ms more in each direction, a part at a time.
+    Slow(u64),
+    /// One part in so many that pass toward the far end is lost.
+    Loses(u64),
     /// Open connections are cut, new ones are cut at once.
     Cut,
     /// It answers what comes with bytes that mean nothing.
@@ -35,6 +43,7 @@
 pub struct Gate {
     shared: Arc<Shared>,
     task: JoinHandle<()>,
+    at: Option<SocketAddr>,
 }
 
 impl Drop for Gate {
@@ -78,7 +87,7 @@
                 });
             }
         });
-        Ok((Gate { shared, task }, at))
+        Ok((Gate { shared, task, at: Some(at) }, at))
     }
 
     /// Before a Unix socket, at another path.
@@ -101,7 +110,13 @@
                 });
             }
         });
-        Ok(Gate { shared, task })
+        Ok(Gate { shared, task, at: None })
+    }
+
+    /// Where it listens, as text for a configuration; empty where it is a file.
+    #[must_use]
+    pub fn at(&self) -> String {
+        self.at.map_or(String::new(), |at| at.to_string())
     }
 
     /// Sets what it does.
@@ -151,6 +166,7 @@
     }
     let Some((mut far_read, mut far_write)) = connect().await else { return };
     let (mut up, mut down) = ([0; 16 * 1024], [0; 16 * 1024]);
+    let mut parts = 0_u64;
     loop {
         let now = *way.borrow_and_update();
         match now {
@@ -161,7 +177,8 @@
                 }
                 continue;
             }
-            Way::Open => {}
+            Way::Slow(ms) => tokio::time::sleep(std::time::Duration::from_millis(ms)).await,
+            Way::Open | Way::HeldUp | Way::HeldDown | Way::Loses(_) => {}
         }
         tokio::select! {
             changed = way.changed() => {
@@ -169,8 +186,12 @@
                     return;
                 }
             }
-            n = near_read.read(&mut up) => {
+            n = near_read.read(&mut up), if now != Way::HeldUp => {
                 let Ok(n) = n else { return };
+                parts += 1;
+                if let Way::Loses(one_in) = now && n > 0 && parts % one_in.max(1) == 0 {
+                    continue;
+                }
                 let fuse = shared.fuse.load(Ordering::SeqCst);
                 let part = if fuse >= 0 { n.min(usize::try_from(fuse).unwrap_or(0)) } else { n };
                 if far_write.write_all(&up[..part]).await.is_err() {
@@ -189,7 +210,7 @@
                     return;
                 }
             }
-            n = far_read.read(&mut down) => {
+            n = far_read.read(&mut down), if now != Way::HeldDown => {
                 let Ok(n) = n else { return };
                 if n == 0 || near_write.write_all(&down[..n]).await.is_err() {
                     return;
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -31,7 +31,7 @@
 #[must_use]
 pub fn fresh_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(0);
-    let base = u64::from(std::process::id()) << 40 ^ crate::town::unix_ms() << 20;
+    let base = u64::from(std::process::id()) << 40 ^ crate::clock::unix_ms() << 20;
     format!("{:016x}", base.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)))
 }
 
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -13,7 +13,7 @@
 use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
@@ -25,13 +25,6 @@
 const STOP: Duration = Duration::from_secs(8);
 const AGENT_STOP: Duration = Duration::from_secs(14);
 
-/// Unix time in ms.
-#[must_use]
-pub fn unix_ms() -> u64 {
-    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(unix.as_millis()).unwrap_or(0)
-}
-
 /// A loopback address of this process's own, so that towns beside each other don't meet.
 #[must_use]
 pub fn own_ip() -> IpAddr {
@@ -140,7 +133,7 @@
 }
 
 impl Process {
-    async fn start(name: &str, mut command: Command, log_file: &Path) -> Result<Process, String> {
+    pub(crate) async fn start(name: &str, mut command: Command, log_file: &Path) -> Result<Process, String> {
         // A signal to this process's group, as Ctrl-C sends it, is not theirs: the town ends in its order.
         command.process_group(0);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
@@ -313,7 +306,7 @@
 
 /// A port for a program that starts later. Those that the system deals out to whoever binds port 0 lie above all of these,
 /// so that none of these is given away in between; no two calls in one process give the same.
-fn free_port(ip: IpAddr) -> Result<u16, String> {
+pub(crate) fn free_port(ip: IpAddr) -> Result<u16, String> {
     const FROM: u32 = 10_000;
     const COUNT: u32 = 20_000;
     static NEXT: AtomicU32 = AtomicU32::new(0);
