A leader that is heard but not answered falls silent, so that another can be chosen

It led the council as well: its heartbeats kept the others from choosing, and nothing it proposed was agreed on (checked by the logs of all three: term 1 throughout, no election; ruled out: the owner's lease, which had run out in time). A leader that too few have answered for two election times now sends nothing but a try now and then (crates/council/src/pulse.rs). The new test of it fails without: nobody else leads in 20 s.

Who leads is also said once the name is known, not only the number.

--- a/crates/agent/tests/owner.rs
+++ b/crates/agent/tests/owner.rs
@@ -493,3 +493,110 @@
         faults(seed, 6, 5, 10).await;
     }
 }
+
+// ---- figures: `cargo test --profile ci -p frostvale-agent --test owner -- --ignored --nocapture figures` ----
+
+const LONG_LEASE: u64 = 3000;
+
+fn figure(mut all: Vec<u64>) -> String {
+    all.sort_unstable();
+    let at =
+        |part: usize| all.get(((all.len() * part).div_ceil(100)).saturating_sub(1)).copied().unwrap_or(0);
+    format!(
+        "{} runs: p50 {} ms, p99 {} ms, most {} ms",
+        all.len(),
+        at(50),
+        at(99),
+        all.last().copied().unwrap_or(0)
+    )
+}
+
+/// From a signal to the next owner's first effect, so many times.
+async fn taken_over(signal: &str, rounds: usize) -> Vec<u64> {
+    let mut fleet = fleet(Plan { lease_ms: LONG_LEASE, drills: 1, ..plan(3, 0) }).await;
+    let mut all = Vec::new();
+    for _ in 0..rounds {
+        sleep(Duration::from_millis(LONG_LEASE)).await;
+        let old = owner(&fleet, "drill-0").await;
+        let held = fleet.stands("drill-0").expect("owned");
+        let from = unix_ms();
+        fleet.signal(old, signal).await;
+        let next = another(&fleet, "drill-0", &held).await;
+        let touches = fleet.touches().expect("read");
+        let first =
+            touches.iter().find(|t| t.epoch == next.epoch && t.duty == "drill-0").map_or(0, |t| t.at_ms);
+        all.push(first.saturating_sub(from));
+        if signal == "KILL" {
+            fleet.kill(old).await;
+            fleet.spawn(old).await.expect("started");
+        } else {
+            fleet.signal(old, "CONT").await;
+        }
+    }
+    sound(&fleet);
+    fleet.stop().await;
+    all
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 64)]
+#[ignore = "figures, dated in docs/owner.md"]
+async fn figures_of_taking_over() {
+    for signal in ["KILL", "STOP"] {
+        let fleets: Vec<_> = (0..5).map(|_| tokio::spawn(taken_over(signal, 10))).collect();
+        let mut all = Vec::new();
+        for one in fleets {
+            all.extend(one.await.expect("ran"));
+        }
+        println!("{signal}, lease {LONG_LEASE} ms: {}", figure(all));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 32)]
+#[ignore = "figures, dated in docs/owner.md"]
+async fn figures_of_moves() {
+    let mut fleet = fleet(Plan { lease_ms: LONG_LEASE, drills: 1, pause_ms: 5, ..plan(3, 0) }).await;
+    settled(&fleet).await;
+    let mut all = Vec::new();
+    for round in 0..50 {
+        let to = format!("a{}", round % 3 + 1);
+        let held = fleet.stands("drill-0").expect("owned");
+        if held.owner.starts_with(&format!("{to}#")) {
+            continue;
+        }
+        let mut client = control(&fleet.agents[0].control).await.expect("an agent");
+        let (duty, by, why) = ("drill-0".into(), "ana".into(), "a figure".into());
+        client.change_duty(DutyChange { what: What::Move.into(), duty, to, by, why }).await.expect("moved");
+        let next = another(&fleet, "drill-0", &held).await;
+        let first =
+            fleet.touches().expect("read").iter().find(|t| t.epoch == next.epoch).map_or(0, |t| t.at_ms);
+        all.push(first.saturating_sub(fleet_last(&fleet, &held)));
+        sleep(Duration::from_millis(200)).await;
+    }
+    println!("moves in order, between the last effect of one and the first of the next: {}", figure(all));
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 32)]
+#[ignore = "figures, dated in docs/owner.md"]
+async fn figures_of_rest() {
+    for (agents, voters) in [(3, 3), (5, 5), (50, 5)] {
+        let plan = Plan { lease_ms: LONG_LEASE, voters, record: false, drills: 0, ..plan(agents, 0) };
+        let mut fleet = fleet(plan).await;
+        sleep(Duration::from_secs(5)).await;
+        let cpu = |f: &Fleet| {
+            f.agents.iter().filter_map(|a| a.process.as_ref()).map(|p| p.cpu_ms()).collect::<Vec<_>>()
+        };
+        let (before, bytes) = (cpu(&fleet), fleet.council_bytes());
+        sleep(Duration::from_secs(20)).await;
+        let spent: Vec<u64> = cpu(&fleet).iter().zip(&before).map(|(a, b)| a - b).collect();
+        let bytes = fleet.council_bytes() - bytes;
+        println!(
+            "{agents} agents at rest, {voters} voters: CPU ms a second, all {:.1}, most of one {:.1}; bytes a second asked \
+             between them {:.0}",
+            spent.iter().sum::<u64>() as f64 / 20.0,
+            spent.iter().max().copied().unwrap_or(0) as f64 / 20.0,
+            bytes as f64 / 20.0
+        );
+        fleet.stop().await;
+    }
+}
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod file;
 pub mod member;
 mod net;
+mod pulse;
 mod store;
 pub mod wire;
 
--- a/crates/council/src/member.rs
+++ b/crates/council/src/member.rs
@@ -3,6 +3,7 @@
 use crate::Transport;
 use crate::file::{File, Identity, Problem};
 use crate::net::Ways;
+use crate::pulse::Pulse;
 use crate::store::{Log, Machine, Member, Request, Response, TypeConfig, Whole};
 use crate::wire::{self, BODY_MOST, Envelope, Kind, Refused, VERSION};
 use frostvale_owner::registry::is_name;
@@ -207,9 +208,20 @@
     heard: Mutex<BTreeMap<u64, u64>>,
     stopped: watch::Sender<Option<String>>,
     refused: AtomicU64,
+    pulse: Mutex<Pulse>,
 }
 
 impl Shared {
+    /// Whether a leader's message may go out; see [`Pulse`].
+    pub(crate) fn may_lead(&self) -> bool {
+        lock(&self.pulse).may(std::time::Instant::now())
+    }
+
+    /// A member has answered its leader.
+    pub(crate) fn answered(&self, id: u64) {
+        lock(&self.pulse).answered(std::time::Instant::now(), id);
+    }
+
     fn number(&self) -> (u64, u64) {
         lock(&self.identity).as_ref().map_or((0, 0), |i| (i.id, i.generation))
     }
@@ -322,7 +334,9 @@
             let whose = format!("{} of fleet {}", known.name, known.fleet);
             return Err(Problem::Foreign(whose).to_string());
         }
+        let beat = Duration::from_millis(settings.heartbeat_ms);
         let shared = Arc::new(Shared {
+            pulse: Mutex::new(Pulse::new(beat, beat * 8)),
             settings,
             file,
             transport,
@@ -554,16 +568,21 @@
         let mut stopped = self.shared.stopped.subscribe();
         let mut leader = None;
         loop {
+            // By name: who leads may be known before who that is.
             let (now, fatal, term) = {
                 let m = metrics.borrow_and_update();
+                let others = m.membership_config.membership().voter_ids().filter(|v| *v != m.id).collect();
+                let leads = m.state == ServerState::Leader;
+                lock(&self.shared.pulse).leads(std::time::Instant::now(), leads, others);
                 (m.current_leader, m.running_state.as_ref().err().map(ToString::to_string), m.current_term)
             };
             if let Some(why) = fatal {
                 self.shared.stop(&format!("council.file: {why}; this agent does not vote"));
             }
-            if now != leader {
-                leader = now;
-                match now.and_then(|id| self.name_of(&raft, id)) {
+            let named = now.and_then(|id| self.name_of(&raft, id));
+            if named != leader {
+                leader.clone_from(&named);
+                match named {
                     Some(name) => {
                         tracing::info!(leader = name, term, "{name} leads the council in term {term}")
                     }
--- a/crates/council/src/net.rs
+++ b/crates/council/src/net.rs
@@ -45,12 +45,19 @@
         A: DeserializeOwned,
         E: Error + DeserializeOwned,
     {
+        if kind != Kind::Vote && !self.shared.may_lead() {
+            let silent = std::io::Error::other("it leads, and too few answer: it falls silent");
+            return Err(RPCError::Unreachable(Unreachable::new(&silent)));
+        }
         let body = wire::body(ask);
         let answer = self.shared.ask(&self.at, self.target, kind, body, option.hard_ttl()).await;
         let answer =
             answer.map_err(|e| RPCError::Unreachable(Unreachable::new(&std::io::Error::other(e))))?;
         let answer: Result<A, E> =
             wire::read(&answer.body).map_err(|e| RPCError::Network(NetworkError::new(&e)))?;
+        if kind != Kind::Vote {
+            self.shared.answered(self.target);
+        }
         answer.map_err(|e| RPCError::RemoteError(RemoteError::new(self.target, e)))
     }
 }
--- a/crates/council/tests/council.rs
+++ b/crates/council/tests/council.rs
@@ -234,6 +234,22 @@
     assert!(read.owner.lives.contains_key("a"));
 }
 
+/// It is heard by the others, and hears none of their answers: heard, it would keep them from choosing another for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_is_heard_and_hears_nobody_gives_way() {
+    let town = Town::formed(3).await;
+    let deaf = town.leader().await;
+    let others: Vec<usize> = (1..=3).filter(|k| *k != deaf).collect();
+    others.iter().for_each(|k| town.cut(*k, deaf));
+    town.until("another leads", || others.iter().any(|k| town.get(*k).leads())).await;
+    let next = others.iter().copied().find(|k| town.get(*k).leads()).expect("one");
+    assert_eq!(town.get(next).propose(open("a", 1), ASK).await, Ok(Outcome::Done));
+    town.heal();
+    town.until("it follows", || !town.get(deaf).leads()).await;
+    let read = town.get(deaf).current(ASK).await.expect("read");
+    assert!(read.owner.lives.contains_key("a"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_older_copy_of_a_file_does_not_vote() {
     let town = Town::formed(3).await;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -383,6 +383,12 @@
         }
     }
 
+    /// Bytes that agents have sent to others of the council, as questions and to voters.
+    #[must_use]
+    pub fn council_bytes(&self) -> u64 {
+        self.ways.values().map(Gate::passed).sum()
+    }
+
     /// What passes between an agent and the database.
     pub fn db_way(&self, agent: usize, way: Way) {
         if let Some(gate) = self.db_ways.get(agent) {
