--- a/crates/agent/tests/owner.rs
+++ b/crates/agent/tests/owner.rs
@@ -488,8 +488,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 32)]
 #[ignore = "long: run once, dated in docs/owner.md"]
 async fn many_schedules() {
-    let seeds: u64 = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(200);
-    for seed in 1000..1000 + seeds {
+    let told =
+        |name: &str, usual: u64| std::env::var(name).ok().and_then(|s| s.parse().ok()).unwrap_or(usual);
+    let from = told("FROM", 1000);
+    for seed in from..from + told("SEEDS", 200) {
         faults(seed, 6, 5, 10).await;
     }
 }
