An agent that ends in order says neither that others ended its session nor an error

Tried as a new user from docs/owner.md: one agent alone, duties list, pause, history, council status, stop, recover. All as the page says, but for two lines at an orderly end that read like trouble; they are gone.

--- a/crates/council/src/member.rs
+++ b/crates/council/src/member.rs
@@ -383,7 +383,11 @@
 
     /// Ends taking part; what was promised is in the file.
     pub async fn shutdown(&self) {
-        self.shared.stop("it ends");
+        self.shared.stopped.send_if_modified(|s| {
+            let first = s.is_none();
+            s.get_or_insert_with(|| "it ends".to_string());
+            first
+        });
         if let Some(raft) = self.raft() {
             let _ = raft.shutdown().await;
         }
--- a/crates/owner/src/host.rs
+++ b/crates/owner/src/host.rs
@@ -463,7 +463,10 @@
         if self.session != Session::Open {
             return;
         }
-        out.push(Action::Tell(Tell::Ended));
+        // Its own end in order is no news.
+        if !self.shut {
+            out.push(Action::Tell(Tell::Ended));
+        }
         self.until.set(0);
         self.until = Until::default();
         self.session = Session::None { next: 0 };
