--- a/crates/owner/src/host.rs
+++ b/crates/owner/src/host.rs
@@ -290,10 +290,10 @@
         let mut out = Vec::new();
         self.look(now, state, &mut out);
         self.keep_session(now, state, &mut out);
-        self.end_silent(now, state, &mut out);
+        self.end_silent(now, &mut out);
         self.lapse(now, &mut out);
         if self.holds(now) {
-            self.take_up(now, state, &mut out);
+            self.take_up(state, &mut out);
             self.part(now, state, &mut out);
             self.go(now, &mut out);
             if !self.closing {
@@ -578,7 +578,7 @@
         }
     }
 
-    fn end_silent(&mut self, now: u64, _: &State, out: &mut Vec<Action>) {
+    fn end_silent(&mut self, now: u64, out: &mut Vec<Action>) {
         let (silence, turn, at_ms) = (self.settings.silence_ms(), self.settings.turn_ms(), self.at_ms(now));
         for (owner, (number, since, asked)) in &mut self.others {
             // Not all at once: the first to ask does it for all.
@@ -594,7 +594,7 @@
     // ---- duties ----
 
     /// Begins what the council says is this agent's.
-    fn take_up(&mut self, _now: u64, state: &State, out: &mut Vec<Action>) {
+    fn take_up(&mut self, state: &State, out: &mut Vec<Action>) {
         let me = self.owner();
         if !state.sessions.contains_key(&me) {
             return;
--- a/crates/record/src/fleet.rs
+++ b/crates/record/src/fleet.rs
@@ -137,6 +137,19 @@
     Ok(Reply::Did(gone))
 }
 
+/// A row of use by day, as all statements about it begin.
+pub(crate) fn day_row(r: &Row) -> Result<ExportRow, Error> {
+    Ok(ExportRow {
+        day_ms: r.int(0)?,
+        shop: r.text(1)?,
+        plan: r.text(2)?,
+        class: r.text(3)?,
+        passed_milli: r.int(4)?,
+        refused_milli: r.int(5)?,
+        served_milli: r.int(6)?,
+    })
+}
+
 async fn prepare_export<T: Tx>(tx: &mut T, before_ms: i64, most: i64, now_ms: i64) -> Result<Reply, Error> {
     let begun = tx.query(sql::EXPORT_BEGUN, vec![]).await?;
     let number = match begun.first() {
@@ -155,18 +168,7 @@
         }
     };
     let rows = tx.query(sql::EXPORT_ROWS, args![number]).await?;
-    let row = |r: &Row| {
-        Ok(ExportRow {
-            day_ms: r.int(0)?,
-            shop: r.text(1)?,
-            plan: r.text(2)?,
-            class: r.text(3)?,
-            passed_milli: r.int(4)?,
-            refused_milli: r.int(5)?,
-            served_milli: r.int(6)?,
-        })
-    };
-    let rows = rows.iter().map(row).collect::<Result<Vec<_>, Error>>()?;
+    let rows = rows.iter().map(day_row).collect::<Result<Vec<_>, Error>>()?;
     Ok(Reply::Export(Some(Export { number, rows })))
 }
 
--- a/crates/record/src/ops.rs
+++ b/crates/record/src/ops.rs
@@ -319,18 +319,7 @@
         }
         Op::Days(most) => {
             let rows = tx.query(sql::DAYS, args![*most]).await?;
-            let day = |r: &Row| {
-                let row = crate::model::ExportRow {
-                    day_ms: r.int(0)?,
-                    shop: r.text(1)?,
-                    plan: r.text(2)?,
-                    class: r.text(3)?,
-                    passed_milli: r.int(4)?,
-                    refused_milli: r.int(5)?,
-                    served_milli: r.int(6)?,
-                };
-                Ok((row, r.int(7)?))
-            };
+            let day = |r: &Row| Ok((fleet::day_row(r)?, r.int(7)?));
             Ok(Reply::Days(rows.iter().map(day).collect::<Result<_, Error>>()?))
         }
         Op::Instances => {
