What is given up or too late does not reach a worker: resets, begin-by, unsent commands

Cause, read and then forced on sockets (tests/node/workers.rs): - `Conn::close` ends a connection by shutdown: what the kernel still holds of a command goes out afterwards, so an attempt that was given up could arrive whole. A worker with a small window got all 12 kB after the client had its answer. - `Gateway::left` kept an attempt whose command was half written: the rest went out for a client that had left. - `Control::again` looks at the window for repeats when it decides; a connection that came up late carried the repeat past it. - A whole list that left a worker out and named it again began its lives anew from 0, so that a connection of an earlier life passed for one of the present; a list that went back in time ended what was out as a restart would, and made a cold server warm in the module.

Change: attempts are given up by a reset (linger of nothing); an unsent command of a client that has left is taken back; `Action::Send` says until when an attempt may begin, and a connection up later is kept for others; lives are never used twice; start times only grow.

Ruled out: a connect in flight over a drain or a whole list is looked at again before the write (`begin`), and of two connects of one request only the one it waits for is used.

--- a/crates/sim/tests/oracles.rs
+++ b/crates/sim/tests/oracles.rs
@@ -138,7 +138,12 @@
                 Vec::new()
             }
             Event::Request(r) if self.listed => {
-                vec![Action::Send { id: r.id, server: "s-0".into(), not_past: r.give_up }]
+                vec![Action::Send {
+                    id: r.id,
+                    server: "s-0".into(),
+                    not_past: r.give_up,
+                    begin_by: f64::INFINITY,
+                }]
             }
             Event::Request(Request { id, .. }) | Event::Outcome(Outcome { id, last: false, .. }) => {
                 vec![Action::Refuse { id, pause: 0.0 }]
--- a/src/api.rs
+++ b/src/api.rs
@@ -341,6 +341,8 @@
         server: Name,
         /// When to abandon the attempt.
         not_past: f64,
+        /// When it has to have begun: past this a repeat that may take effect again is not to reach the server.
+        begin_by: f64,
     },
     /// The final answer "not now; trying again is harmless".
     Refuse {
--- a/src/bin/frostvale-drill/wire.rs
+++ b/src/bin/frostvale-drill/wire.rs
@@ -329,7 +329,7 @@
 /// An action on the wire, where it has words for it.
 fn spoken<'a>(who: &'a str, action: &'a Action) -> Option<Reply<'a>> {
     Some(match action {
-        Action::Send { id, server, not_past } => {
+        Action::Send { id, server, not_past, .. } => {
             Reply::Deliver { gatekeeper_id: who, request_id: *id, worker: server, not_past: *not_past }
         }
         Action::Refuse { id, pause } => Reply::Busy { gatekeeper_id: who, request_id: *id, pause: *pause },
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -1,6 +1,7 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
 //! attempts and one queue of timers for all of them. It decides nothing: `frostvale::Control` does.
 
+mod in_flight;
 mod outside;
 mod record;
 mod zones;
@@ -14,12 +15,13 @@
 use crate::workers::{self, Conn, Ear, Place, Refusal, Workers};
 use frostvale::*;
 use frostvale_outside::{Breaker, Consult, Counts, Verdict};
+use in_flight::{Attempt, Clock, InFlight};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout};
@@ -84,51 +86,6 @@
 /// Timers that are void may stand in the queue up to this many, or as many as mean something.
 const DUE_LEAST: usize = 1024;
 
-/// Milliseconds of Unix time as of the start, moved on by the monotonic clock: workers' start times can be
-/// compared with it, and it never steps back.
-struct Clock {
-    start: Instant,
-    unix_ms: f64,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
-    }
-
-    fn now(&self) -> f64 {
-        self.unix_ms + self.start.elapsed().as_secs_f64() * 1000.0
-    }
-
-    fn instant(&self, at: f64) -> Instant {
-        self.start + Duration::from_secs_f64(((at - self.unix_ms) / 1000.0).clamp(0.0, 1e6))
-    }
-}
-
-/// A request in hand: until its final answer, and after that while an attempt is still out.
-struct InHand {
-    ask: Ask,
-    /// Who is owed the answer; none once it is given or the client has left.
-    client: Option<Rc<dyn Caller>>,
-    /// The module has not heard of it yet: an outside service is asked first.
-    pending: Option<Request>,
-    attempts: u32,
-    attempt: Option<Attempt>,
-    /// Whether an attempt has come whole to a worker: from then on its units are used.
-    passed: bool,
-}
-
-/// The one attempt that may be out.
-struct Attempt {
-    number: u32,
-    server: Name,
-    started: f64,
-    not_past: f64,
-    /// Its connection once there is one.
-    conn: Option<Rc<Conn>>,
-}
-
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(u64),
@@ -144,7 +101,7 @@
     clock: Clock,
     pub conf: Conf,
     pub settings: Settings,
-    requests: HashMap<u64, InHand>,
+    requests: HashMap<u64, InFlight>,
     last_id: u64,
     held: usize,
     held_most: usize,
@@ -311,7 +268,8 @@
             agents.seen(&ask.customer, ask.first, ask.spread);
         }
         let (client, pending) = (Some(client), None);
-        self.requests.insert(id, InHand { ask, client, pending, attempts: 0, attempt: None, passed: false });
+        self.requests
+            .insert(id, InFlight { ask, client, pending, attempts: 0, attempt: None, passed: false });
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
         if self.outside.as_ref().is_some_and(|o| o.wants(request.plan)) {
             return self.consult(request);
@@ -348,9 +306,14 @@
         if r.pending.take().is_some() {
             return self.tidy(id);
         }
-        let unsent = r.attempt.as_ref().is_some_and(|a| a.conn.is_none());
+        let unsent = r.attempt.as_ref().filter(|a| a.unsent()).map(|a| a.conn.clone());
         self.event(Event::Left { id });
-        if unsent {
+        if let Some(conn) = unsent {
+            // Of a command that is half written the rest would still go out.
+            if let Some(conn) = conn {
+                conn.busy.set(None);
+                conn.abort();
+            }
             self.end(id, Ending::Moot, None);
         }
         self.tidy(id);
@@ -419,7 +382,9 @@
 
     fn act(&mut self, action: Action, now: f64) {
         match action {
-            Action::Send { id, server, not_past } => self.send(id, server, not_past, now),
+            Action::Send { id, server, not_past, begin_by } => {
+                self.send(id, server, (not_past, begin_by), now);
+            }
             Action::Refuse { id, pause } => self.refuse(id, pause),
             Action::Verdict { id, granted, remaining, reset } => {
                 if let Some((tag, asker)) = self.checks.remove(&id) {
@@ -482,11 +447,12 @@
 
     // ---- attempts ----
 
-    fn send(&mut self, id: u64, server: Name, not_past: f64, now: f64) {
+    fn send(&mut self, id: u64, server: Name, (not_past, begin_by): (f64, f64), now: f64) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let number = r.attempts;
         r.attempts += 1;
-        r.attempt = Some(Attempt { number, server: server.clone(), started: now, not_past, conn: None });
+        r.attempt =
+            Some(Attempt { number, server: server.clone(), started: now, not_past, begin_by, conn: None });
         if not_past <= now || r.client.is_none() {
             return self.end(id, Ending::Moot, None);
         }
@@ -505,7 +471,8 @@
             return self.end(id, Ending::Unreachable, None);
         };
         let part = (CONNECT_PART * (not_past - now)).max(CONNECT_LEAST_MS);
-        let most = self.conf.bounds.connect_timeout.clamp(1.0, 60_000.0).min(part);
+        let most =
+            self.conf.bounds.connect_timeout.clamp(1.0, 60_000.0).min(part).min(begin_by - now).max(0.0);
         let most = Duration::from_secs_f64(most / 1000.0);
         tokio::task::spawn_local(async move {
             // A machine that has vanished never answers: the settings say how long to try.
@@ -525,22 +492,23 @@
     ) {
         let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
         let waits = attempt.is_some_and(|a| a.number == number && a.conn.is_none());
+        let in_time = attempt.is_some_and(|a| self.clock.now() <= a.begin_by);
         let reading = self.workers.reading();
         let conn = stream.map(|stream| Conn::new(stream, server, life, place, reading));
         if let Some(conn) = &conn {
             conn.listen(self.ear.clone());
         }
-        match conn {
-            // The worker may have begun to drain, or have restarted, while this took its time: `begin` looks.
-            Some(conn) if waits => {
-                let begun = self.begin(id, &conn);
-                if !begun {
-                    self.end(id, Ending::Unreachable, None);
-                }
+        // The worker may have begun to drain, or have restarted, while this took its time: `begin` looks.
+        let begun = match conn {
+            Some(conn) if waits && in_time => self.begin(id, &conn),
+            Some(conn) => {
+                self.workers.keep(&conn, self.clock.now());
+                false
             }
-            Some(conn) => self.workers.keep(&conn, self.clock.now()),
-            None if waits => self.end(id, Ending::Unreachable, None),
-            None => {}
+            None => false,
+        };
+        if waits && !begun {
+            self.end(id, Ending::Unreachable, None);
         }
     }
 
@@ -604,7 +572,7 @@
         let Some(conn) = attempt.map(|a| a.conn.clone()) else { return };
         let Some(conn) = conn else { return self.end(id, Ending::Unreachable, None) };
         conn.busy.set(None);
-        conn.close();
+        conn.abort();
         // With its last byte unwritten the worker can't have begun.
         self.end(id, if conn.written.get() { ending } else { Ending::Unreachable }, None);
     }
@@ -731,10 +699,3 @@
         }
     }
 }
-
-impl InHand {
-    /// Whether it has an attempt out at one of these workers.
-    fn lives_in(&self, workers: &[Name]) -> bool {
-        self.attempt.as_ref().is_some_and(|a| a.conn.is_some() && workers.contains(&a.server))
-    }
-}
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -12,6 +12,7 @@
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -70,6 +71,13 @@
         })
     }
 
+    /// Gives up the attempt that it carries. What the kernel still holds of the command is not to go out any more, so
+    /// that the worker is reset instead of hearing the rest.
+    pub fn abort(&self) {
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        self.close();
+    }
+
     /// Ends it at once: the peer sees the end before anything else is decided, and no late answer is read.
     pub fn close(&self) {
         let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
@@ -151,7 +159,8 @@
 pub struct Worker {
     pub address: SocketAddr,
     pub health: Health,
-    /// Grows with each restart and each new address: connections of an earlier life are of no use.
+    /// New with each restart, each new address and each return to the list, and never used twice: connections of an
+    /// earlier life are of no use.
     pub life: u64,
     boot_ms: f64,
     idle: Vec<Rc<Conn>>,
@@ -160,6 +169,7 @@
 /// All workers that the list has named.
 pub struct Workers {
     all: HashMap<Name, Worker>,
+    lives: u64,
     open: Rc<Cell<usize>>,
     most: usize,
     reading: Budget,
@@ -169,7 +179,7 @@
     /// `most` bounds the connections to all of them together, `memory` what has been read on them of answers
     /// that are not whole yet.
     pub fn new(most: usize, memory: usize) -> Workers {
-        Workers { all: HashMap::new(), open: Rc::default(), most, reading: Budget::new(memory) }
+        Workers { all: HashMap::new(), lives: 0, open: Rc::default(), most, reading: Budget::new(memory) }
     }
 
     /// A new connection's share of the memory.
@@ -193,27 +203,26 @@
         }
         let (mut over, mut fresh_ones) = (Vec::new(), Vec::new());
         for Target { uid, endpoint, health, boot_ms, .. } in &list.targets {
-            let fresh = || Worker {
-                address: *endpoint,
-                health: *health,
-                life: 0,
-                boot_ms: *boot_ms,
-                idle: Vec::new(),
-            };
+            self.lives += 1;
+            let life = self.lives;
+            let fresh =
+                || Worker { address: *endpoint, health: *health, life, boot_ms: *boot_ms, idle: Vec::new() };
             let name: Name = uid.as_str().into();
             if *health == Health::Up && self.all.get(&name).is_none_or(|w| w.address != *endpoint) {
                 fresh_ones.push(name.clone());
             }
             let worker = self.all.entry(name.clone()).or_insert_with(fresh);
             if worker.address != *endpoint || *boot_ms > worker.boot_ms {
-                worker.life += 1;
+                worker.life = life;
                 worker.idle.drain(..).for_each(|conn| conn.close());
             }
             // At a new address alone the old process may still answer what it has.
             if *boot_ms > worker.boot_ms {
                 over.push(name);
             }
-            (worker.address, worker.health, worker.boot_ms) = (*endpoint, *health, *boot_ms);
+            (worker.address, worker.health) = (*endpoint, *health);
+            // A list that goes back in time ends no life once more when it comes forward again.
+            worker.boot_ms = worker.boot_ms.max(*boot_ms);
         }
         let mut replaced = Vec::new();
         // Of two that say nothing of their age the one told last has the address.
--- a/src/control.rs
+++ b/src/control.rs
@@ -240,7 +240,8 @@
                 s.rested_at = f64::NEG_INFINITY;
             }
             (s.zone, s.cell, s.size) = (line.zone, line.cell, line.size);
-            (s.health, s.since) = (line.health, line.since);
+            // A list that goes back in time makes nobody warm.
+            (s.health, s.since) = (line.health, line.since.max(s.since));
             match line.health {
                 Health::Up => self.servers.up(number, line.zone, line.cell),
                 _ => self.servers.down(number),
@@ -824,7 +825,11 @@
         // An answer past its aim earns nothing: it is not waited for, and silence is not taken for load.
         let end = if class.late_worth > 0.0 { f64::INFINITY } else { h.job.arrived + class.aim };
         let not_past = h.job.request.give_up.min(end);
-        self.actions.push(Action::Send { id, server, not_past });
+        let begin_by = match (class.effect, h.may_run) {
+            (Effect::Keyed(_), Some((.., at))) => at + class.window,
+            _ => f64::INFINITY,
+        };
+        self.actions.push(Action::Send { id, server, not_past, begin_by });
     }
 
     fn on_left(&mut self, id: u64) {
--- /dev/null
+++ b/tests/node/workers.rs
@@ -0,0 +1,153 @@
+//! Attempts that are given up, and connections to workers that come up late: what reaches the worker after that.
+
+use crate::rig::*;
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// For so long the settings have repeats of the class `brief` dropped.
+const WINDOW: Duration = Duration::from_millis(600);
+
+/// A worker that takes in a few kB and then nothing, so that the rest of a command stands on the gatekeeper's side: in its
+/// kernel, about 20 kB, and what is more in the gatekeeper itself.
+fn slow_worker() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.set_tcp_mss(536).expect("small segments");
+    socket.set_recv_buffer_size(2304).expect("a small buffer");
+    socket.bind(&any.into()).and_then(|()| socket.listen(8)).expect("listening");
+    socket.into()
+}
+
+/// All that comes on a connection until it ends, and whether it ends in order.
+fn all_of(mut stream: TcpStream) -> (Vec<u8>, bool) {
+    stream.set_read_timeout(Some(LONG)).expect("a socket");
+    let mut all = Vec::new();
+    let mut some = [0; 4096];
+    loop {
+        match stream.read(&mut some) {
+            Ok(0) => return (all, true),
+            Ok(n) => all.extend_from_slice(&some[..n]),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return (all, false),
+            Err(e) => panic!("{e}"),
+        }
+    }
+}
+
+/// A request whose command is this long.
+fn long_ask(wait: u32, bytes: usize) -> Vec<u8> {
+    let fields = format!("c=read,t=p,d={wait},units=1,spread=1,first=0");
+    words(&["Q.ASK", "00000000b4d65521", ID, &fields, &"x".repeat(bytes)])
+}
+
+/// The client leaves while its command is half written: the worker never gets the rest of it.
+#[test]
+fn a_command_half_written_when_its_client_leaves_is_never_whole() {
+    let worker = slow_worker();
+    let discovery =
+        Discovery::with(list(1, true, &[target("s-1", worker.local_addr().expect("bound"), "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    let mut client = node.client();
+    client.say(long_ask(8000, 60_000));
+    let (stream, _) = worker.accept().expect("a connection");
+    node.settled();
+    drop(client);
+    node.settled();
+    let (all, _) = all_of(stream);
+    assert!(all.len() < 60_000, "{} bytes", all.len());
+}
+
+/// Its time ends while the kernel still holds some of the command: what is given up does not arrive afterwards.
+#[test]
+fn a_command_that_the_kernel_still_holds_when_it_is_given_up_is_never_whole() {
+    let worker = slow_worker();
+    let discovery =
+        Discovery::with(list(1, true, &[target("s-1", worker.local_addr().expect("bound"), "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    let mut client = node.client();
+    client.say(long_ask(600, 12_000));
+    let (stream, _) = worker.accept().expect("a connection");
+    assert_eq!(client.answer(), "-BUSY");
+    node.settled();
+    let (all, in_order) = all_of(stream);
+    assert!(!in_order && all.len() < 12_000, "{} bytes", all.len());
+}
+
+/// A repeat of a keyed request whose connection comes up only after the window in which repeats are dropped is not sent.
+#[test]
+fn a_keyed_repeat_on_a_connection_that_comes_up_late_is_not_sent() {
+    // A listener whose line is full: further connections stay pending until it accepts.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
+    let late: TcpListener = socket.into();
+    let at = late.local_addr().expect("bound");
+    let filler = TcpStream::connect(at).expect("takes the only place");
+    let first = Door::open();
+    let both = [target("s-1", first.at, "ready", 0), target("s-2", at, "ready", 0)];
+    let discovery = Discovery::with(list(1, true, &both[..1]));
+    let node = Setup::new(discovery.at).start();
+    let watch = discovery.watch();
+    let mut client = node.client();
+    client.say(order("brief", 8000));
+    let begun = Instant::now();
+    let mut line = first.next();
+    line.command();
+    discovery.tell(watch, &list(2, false, &both), &list(2, true, &both));
+    // It may have run: the repeat has to reach the other one while that still knows of it.
+    drop(line);
+    thread::spawn(move || {
+        thread::sleep(WINDOW.saturating_sub(begun.elapsed()) + Duration::from_millis(50));
+        drop(late.accept());
+        if let Ok((stream, _)) = late.accept() {
+            let mut line = Line::of(stream);
+            line.command();
+            line.serve("twice");
+        }
+    });
+    assert_eq!(client.answer(), "-ERR failed");
+    drop(filler);
+}
+
+/// What a whole list does not name is gone at once, also where it still answers: what rests there is closed and what is being
+/// connected is not used. Named again it is as before.
+#[test]
+fn what_a_whole_list_leaves_out_gets_nothing_more() {
+    let (left_out, other) = (Door::open(), Door::open());
+    let discovery = Discovery::with(list(1, true, &[target("s-1", left_out.at, "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    let watch = discovery.watch();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = left_out.next();
+    line.command();
+    line.serve("a");
+    assert_eq!(client.answer(), "a");
+    let mut busy = node.client();
+    busy.say(ask(5000));
+    let mut out = left_out.next_or(&mut line);
+    out.command();
+    let whole = list(2, true, &[target("s-2", other.at, "ready", 0)]);
+    let watch = discovery.tell(watch, &whole, &whole);
+    out.serve("still answered");
+    assert_eq!(busy.answer(), "still answered");
+    assert!(out.ended(), "and not kept");
+    for _ in 0..5 {
+        client.say(ask(5000));
+    }
+    for _ in 0..5 {
+        let mut line = other.next();
+        line.command();
+        line.serve("b");
+        assert_eq!(client.answer(), "b");
+    }
+    assert!(left_out.nobody());
+    let whole = list(3, true, &[target("s-1", left_out.at, "ready", 0)]);
+    discovery.tell(watch, &whole, &whole);
+    client.say(ask(5000));
+    let mut line = left_out.next();
+    line.command();
+    line.serve("back");
+    assert_eq!(client.answer(), "back");
+}
