Discovery: one budget from silence to the list in effect, and the list after each failure

Cause: a watch counted as silent 5 s after the last piece, the call after it could hang for 5 s more and pauses came on top: over 10 s where a change counts as told after 6. Pieces of a line that never ends kept a dead watch alive, since each piece counted. After a failed watch only a watch was opened again: one that ends at once, instead of telling, never told anything. Each was forced by a discovery that the test answers call by call, and seen.

Change: a watch is silent 3 s after its last whole line; connecting and the whole list share 1 s; the whole list is fetched after each failure, as it comes at once where anything does; pauses begin anew only after a watch that lasted. A unit test adds the longest way up: two calls that hang and a third that is answered fit in 6 s, and in 4 s after a reload.

--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: the whole list once, then a watch that is opened again whenever it ends or falls silent.
+//! Discovery: the whole list, then a watch; and both again whenever that ends or falls silent.
 
 use crate::backoff::Backoff;
 use crate::gateway::Shared;
@@ -13,12 +13,21 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// A machine that is cut off says nothing: no connection or list within this time is a failure.
+/// From the start of silence, or from when discovery can be reached again, to the list in effect: a change counts as told
+/// after this, whatever failed, was refused or given up in between. All times below are parts of it.
+#[cfg(test)]
+const TOLD: Duration = Duration::from_secs(6);
+/// The same after a reload has moved discovery.
+#[cfg(test)]
+const TOLD_MOVED: Duration = Duration::from_secs(4);
+/// An empty line comes this often while nothing changes.
+const PERIOD: Duration = Duration::from_secs(2);
+/// With no whole line for this long the watch is dead, whatever TCP thinks and whatever pieces of one still come.
+const SILENT: Duration = Duration::from_secs(3);
+/// From connecting to the whole list: the agent answers at once with what it has.
 const CALL: Duration = Duration::from_secs(1);
-/// An empty line comes every 2 s. After two that are missing the watch is dead, whatever TCP thinks.
-const QUIET: Duration = Duration::from_secs(5);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
 
@@ -47,93 +56,107 @@
 /// Follows discovery at one address without end.
 async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>, backoff: &mut Backoff) {
     backoff.reset();
-    let mut whole = false;
     let mut complained = false;
     loop {
-        let mut heard = false;
-        let ended = session(gateway, address, &mut rev, &mut whole, &mut heard).await;
-        if heard {
+        let began = Instant::now();
+        let ended = session(gateway, address, &mut rev).await;
+        // One that ends as soon as it is there, each time, is not to be called without a pause.
+        if began.elapsed() >= PERIOD {
             backoff.reset();
             complained = false;
         }
         if let Err(e) = ended
-            && !complained
+            && !std::mem::replace(&mut complained, true)
         {
-            complained = true;
             tracing::warn!("discovery at {address}: {e}; trying again");
         }
         sleep(Duration::from_secs_f64(backoff.pause() / 1000.0)).await;
     }
 }
 
-/// One connection: the whole list if there has been none yet, then a watch until it ends.
-async fn session(
+/// One connection: the whole list, which comes at once where anything does, then a watch until it ends or is silent. What
+/// a former watch may have missed is in the list.
+async fn session(gateway: &Shared, address: SocketAddr, rev: &mut Option<u64>) -> Result<(), String> {
+    let mut driver = JoinSet::new();
+    let fetched = timeout(CALL, fetch(gateway, address, rev, &mut driver)).await;
+    let mut call = fetched.map_err(|_| "no list in time")??;
+    let path = format!("/v1/servers?stream=1&index={}", rev.unwrap_or(0));
+    let mut lines = Lines::default();
+    let mut due = Instant::now() + SILENT;
+    let mut body = silent_after(due, get(&mut call, address, &path)).await??.into_body();
+    while let Some(frame) = silent_after(due, body.frame()).await? {
+        let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
+        lines.take(&data, |line| {
+            due = Instant::now() + SILENT;
+            if line.trim_ascii().is_empty() { Ok(()) } else { take(gateway, line, rev) }
+        })?;
+    }
+    Err("the watch ended".into())
+}
+
+/// Connects and takes the whole list. The connection goes on in `driver`, which ends it when it is dropped.
+async fn fetch(
     gateway: &Shared,
     address: SocketAddr,
     rev: &mut Option<u64>,
-    whole: &mut bool,
-    heard: &mut bool,
-) -> Result<(), String> {
-    let stream = within(CALL, "connecting", TcpStream::connect(address)).await?;
+    driver: &mut JoinSet<()>,
+) -> Result<SendRequest<Empty<Bytes>>, String> {
+    let connecting = |e: &dyn std::fmt::Display| format!("connecting: {e}");
+    let stream = TcpStream::connect(address).await.map_err(|e| connecting(&e))?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    let (mut call, connection) = within(CALL, "connecting", handshake(TokioIo::new(stream))).await?;
-    // Ended with this session, also where that is dropped half way.
-    let mut driver = JoinSet::new();
+    let (mut call, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| connecting(&e))?;
     driver.spawn_local(async move {
         // How it ended shows in the call that waits on it.
         let _ = connection.await;
     });
-    listen(gateway, &mut call, address, rev, whole, heard).await
-}
-
-async fn listen(
-    gateway: &Shared,
-    call: &mut SendRequest<Empty<Bytes>>,
-    address: SocketAddr,
-    rev: &mut Option<u64>,
-    whole: &mut bool,
-    heard: &mut bool,
-) -> Result<(), String> {
-    let mut take = |text: &[u8], rev: &mut Option<u64>| {
-        let value = serde_json::from_slice(text).map_err(|e| format!("a line is no JSON: {e}"))?;
-        let list = listed(&value).ok_or("a line is no list")?;
-        *rev = Some(list.rev);
-        *heard = true;
-        gateway.borrow_mut().listed(list);
-        Ok::<(), String>(())
-    };
-    if !*whole {
-        let mut body = get(call, address, "/v1/servers").await?.into_body();
-        let mut text = Vec::new();
-        while let Some(frame) = timeout(CALL, body.frame()).await.map_err(|_| "the list is silent")? {
-            text.extend_from_slice(&frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default());
-            if text.len() > LIST_MOST {
-                return Err("the list is too long".into());
-            }
+    let mut body = get(&mut call, address, "/v1/servers").await?.into_body();
+    let mut text = Vec::new();
+    while let Some(frame) = body.frame().await {
+        text.extend_from_slice(&frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default());
+        if text.len() > LIST_MOST {
+            return Err("the list is too long".into());
         }
-        take(&text, rev)?;
-        *whole = true;
-        within(CALL, "the list", call.ready()).await?;
     }
-    let path = format!("/v1/servers?stream=1&index={}", rev.unwrap_or(0));
-    let mut body = get(call, address, &path).await?.into_body();
-    let mut text: Vec<u8> = Vec::new();
-    while let Some(frame) = timeout(QUIET, body.frame()).await.map_err(|_| "the watch is silent")? {
-        let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
+    take(gateway, &text, rev)?;
+    call.ready().await.map_err(|e| format!("the list: {e}"))?;
+    Ok(call)
+}
+
+/// Takes one list, or what has changed in it, into effect.
+fn take(gateway: &Shared, text: &[u8], rev: &mut Option<u64>) -> Result<(), String> {
+    let value = serde_json::from_slice(text).map_err(|e| format!("a line is no JSON: {e}"))?;
+    let list = listed(&value).ok_or("a line is no list")?;
+    *rev = Some(list.rev);
+    gateway.borrow_mut().listed(list);
+    Ok(())
+}
+
+/// Bytes that come in pieces, as lines.
+#[derive(Default)]
+struct Lines {
+    text: Vec<u8>,
+}
+
+impl Lines {
+    /// Gives each line that is whole by now to `each`.
+    fn take(&mut self, data: &[u8], mut each: impl FnMut(&[u8]) -> Result<(), String>) -> Result<(), String> {
         for piece in data.split_inclusive(|b| *b == b'\n') {
-            text.extend_from_slice(piece);
-            if text.len() > LIST_MOST {
+            self.text.extend_from_slice(piece);
+            if self.text.len() > LIST_MOST {
                 return Err("a line is too long".into());
             }
             if piece.ends_with(b"\n") {
-                if !text.trim_ascii().is_empty() {
-                    take(&text, rev)?;
-                }
-                text.clear();
+                each(&self.text)?;
+                self.text.clear();
             }
         }
+        Ok(())
     }
-    Err("the watch ended".into())
+}
+
+/// A watch that says nothing by then is dead.
+async fn silent_after<T>(due: Instant, said: impl Future<Output = T>) -> Result<T, String> {
+    timeout_at(due, said).await.map_err(|_| "the watch is silent".to_string())
 }
 
 async fn get(
@@ -143,17 +166,9 @@
 ) -> Result<Response<Incoming>, String> {
     let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
     let request = request.map_err(|e| e.to_string())?;
-    let answer = within(QUIET, path, call.send_request(request)).await?;
+    let answer = call.send_request(request).await.map_err(|e| format!("{path}: {e}"))?;
     if answer.status() == StatusCode::OK { Ok(answer) } else { Err(format!("{path}: {}", answer.status())) }
 }
 
-async fn within<T, E: std::fmt::Display>(
-    most: Duration,
-    what: &str,
-    call: impl Future<Output = Result<T, E>>,
-) -> Result<T, String> {
-    match timeout(most, call).await {
-        Ok(ended) => ended.map_err(|e| format!("{what}: {e}")),
-        Err(_) => Err(format!("{what}: no answer in time")),
-    }
-}
+#[cfg(test)]
+mod tests;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! The built gatekeeper over loopback, against small fakes of clients, workers and discovery.
 
+mod discovery;
 mod rig;
 mod workers;
 
