A client's connection is one state; closes are in order, shutdown has a last instant

Cause, read and then forced on sockets (tests/node/clients.rs, shutdown.rs): - With 128 commands in flight, while closing with answers owed and while refusing nothing was read, so a client's end went unnoticed there and its failed attempts were followed by further ones; at shutdown the process waited for the answer. - Commands of a client that had already gone were begun before its end was read. - Idle closes, eviction and shutdown read once and then closed: a request that came between was answered by a reset. - During shutdown a connection on which there was always one more command was served for ever. - What stood in the listener's queue with a full table was reset with the listener. - A signal before the first list waited for it, then served. - A command that waited for its turn told its worker the time from then on, not from when it came.

Change: `client.rs` holds one connection with one state (open, resting, stopping, closing, half closed, over) in place of six cells. The end of the client's sending is waited for wherever nothing is read, also behind unread bytes, and means that it has gone, a half close too. All closes end our sending, then read and drop for half a second at most; those that linger have a bound beside a full table. `shutdown.rs` takes its instants from the protocol's: accepting for 0.5 s, then what stands in the queue, nothing begun from 0.65 s on.

--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -5,6 +5,7 @@
 mod ask;
 mod backoff;
 mod budget;
+mod client;
 mod clients;
 mod config;
 mod discovery;
@@ -15,6 +16,7 @@
 mod listing;
 mod peers;
 mod resp;
+mod shutdown;
 mod usage;
 mod workers;
 mod zones;
@@ -41,8 +43,6 @@
 const FIRST_LIST: Duration = Duration::from_secs(1);
 /// How often lines that were merged are told of.
 const LOG_TURN: Duration = Duration::from_secs(1);
-/// New connections go on coming for up to 0.4 s after SIGTERM.
-const FAREWELL: Duration = Duration::from_millis(500);
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
 /// listener, discovery, notes and what is about to be closed. Clients hold a third at most for requests, and one
 /// at its own limit can't open a connection before an idle one of its is closed: so room is made from there on.
@@ -188,25 +188,30 @@
             }
         }
     });
+    let stop = async {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    };
+    tokio::pin!(stop);
     // Nothing is accepted before there is somebody to send it to.
-    let _ = timeout(FIRST_LIST, news.notified()).await;
-    tracing::info!("{name} serves at {listen}");
-
-    tokio::select! {
-        () = clients.clone().accept(&listener, gateway.clone()) => {}
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    let stopped = tokio::select! {
+        () = &mut stop => true,
+        _ = timeout(FIRST_LIST, news.notified()) => false,
+    };
+    if !stopped {
+        tracing::info!("{name} serves at {listen}");
+        tokio::select! {
+            () = clients.clone().accept(&listener, gateway.clone()) => {}
+            () = &mut stop => {}
+        }
     }
     tracing::info!("{name} stops");
     if let Some(links) = &links {
         links.stop();
     }
-    let _ = timeout(FAREWELL, clients.clone().accept(&listener, gateway.clone())).await;
-    drop(listener);
-    clients.close_soon();
-    while !clients.is_empty() {
-        clients.one_left().await;
-    }
+    shutdown::graceful(&clients, listener, &gateway).await;
     // The last attempts of clients that have left need no answer; the last bytes to clients are the kernel's.
     while !gateway.borrow().settled() {
         sleep(Duration::from_millis(5)).await;
--- /dev/null
+++ b/src/bin/frostvale/shutdown.rs
@@ -0,0 +1,34 @@
+//! Graceful shutdown: until when connections are taken in, until when commands are begun, and when all is over.
+//!
+//! The platform sends SIGTERM, lets new connections come for 0.4 s more, and kills no sooner than the longest deadline (3 s
+//! at most) and `GRACE` later. What came within `GRACE` and is open when it kills is not held against the gatekeeper; what
+//! comes later has to be answered by then, and cannot surely be. So nothing is begun from a little before `GRACE` on, and what
+//! was begun is answered within its own deadline: the process ends that much later, and `client::LINGER`, at the latest.
+
+use crate::client::Life;
+use crate::clients::Clients;
+use crate::gateway::Shared;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, timeout_at};
+
+/// New connections go on coming for up to 0.4 s after SIGTERM.
+const ACCEPT: Duration = Duration::from_millis(500);
+/// What comes later than this after SIGTERM and is not answered when SIGKILL comes is lost.
+const GRACE: Duration = Duration::from_millis(700);
+/// A command that has come may wait this long for its turn here.
+const TURN: Duration = Duration::from_millis(50);
+
+/// Ends all clients' connections in order. What they have sent by then is answered.
+pub async fn graceful(clients: &Rc<Clients>, listener: TcpListener, gateway: &Shared) {
+    let began = Instant::now();
+    let _ = timeout_at(began + ACCEPT, clients.clone().accept(&listener, gateway.clone())).await;
+    clients.accept_rest(&listener, gateway).await;
+    drop(listener);
+    clients.all_to(Life::Stopping);
+    if timeout_at(began + GRACE - TURN, clients.all_left()).await.is_err() {
+        clients.all_to(Life::Closing);
+        clients.all_left().await;
+    }
+}
--- /dev/null
+++ b/tests/node/clients.rs
@@ -0,0 +1,145 @@
+//! Clients that leave, and connections that the gatekeeper ends: what crosses that.
+
+use crate::rig::*;
+use std::io::Write;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How a client leaves.
+type Leave = fn(Line);
+
+const WAYS: [Leave; 2] = [|line| drop(line), Line::reset];
+
+/// A client that is not read from at the moment, as it has too much in flight or is to be closed, and leaves behind bytes
+/// that nobody has read: the attempt that then fails is not followed by another.
+fn leaves_unread(rest: &[u8]) {
+    for leave in WAYS {
+        let (a, b, _discovery, node) = two_workers();
+        let mut client = node.client();
+        client.say(ask(8000));
+        let (mut out, other) = either(&a, &b);
+        out.command();
+        client.say(rest);
+        node.settled();
+        leave(client);
+        node.settled();
+        drop(out);
+        node.settled();
+        assert!(other.nobody(), "nothing more goes out for who has left");
+        let mut next = node.client();
+        next.say(ask(8000));
+        let (mut line, _) = either(&a, &b);
+        line.command();
+        line.serve("served");
+        assert_eq!(next.answer(), "served");
+        assert!(other.nobody());
+    }
+}
+
+#[test]
+fn a_client_that_leaves_with_its_line_full_is_gone_at_once() {
+    leaves_unread(&words(&["PING"]).repeat(2000));
+}
+
+#[test]
+fn a_client_that_leaves_while_it_is_refused_is_gone_at_once() {
+    let mut rest = b"nonsense\r\n".to_vec();
+    rest.extend(words(&["PING"]).repeat(2000));
+    leaves_unread(&rest);
+}
+
+/// It has left before its command is read: nothing is begun for it, also where a connection is there to write it to.
+#[test]
+fn what_a_client_sent_that_has_gone_by_then_is_not_begun() {
+    let (worker, _discovery, node) = one_worker();
+    let mut stays = node.client();
+    stays.say(ask(8000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("one");
+    assert_eq!(stays.answer(), "one");
+    thread::sleep(RESTED);
+    node.signal("-STOP");
+    let mut gone = node.client();
+    gone.say(ask(8000));
+    drop(gone);
+    node.signal("-CONT");
+    node.settled();
+    assert!(!line.speaks() && worker.nobody(), "nothing is begun for who has left");
+    stays.say(ask(8000));
+    let mut line = worker.next_or(&mut line);
+    line.command();
+    line.serve("two");
+    assert_eq!(stays.answer(), "two");
+}
+
+/// A request crosses the close of a connection that has rested: the client reads its last answer and an end, not a reset, and
+/// nothing that comes after the end is begun.
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_is_not_begun() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("last");
+    assert_eq!(client.answer(), "last");
+    // Others fill the table, and it is the one that has rested for longest.
+    let mut others: Vec<Line> = Vec::new();
+    while !client.speaks_or_ended() {
+        assert!(others.len() < 64);
+        let mut other = node.client();
+        other.say(words(&["PING"]));
+        assert_eq!(other.answer(), "+PONG");
+        others.push(other);
+    }
+    for _ in 0..3 {
+        client.read.get_mut().write_all(&ask(5000)).expect("there is still somebody to send to");
+        node.settled();
+    }
+    assert!(client.ended_in_order(), "an end, and no reset");
+    assert!(worker.nobody() && !line.speaks(), "nothing was begun");
+}
+
+/// Who is closed and does not close holds up nobody: what lingers is bounded.
+#[test]
+fn clients_that_never_end_hold_up_nobody_at_a_full_table() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let begun = Instant::now();
+    let mut all: Vec<Line> = Vec::new();
+    for _ in 0..200 {
+        let mut client = node.client();
+        client.say(words(&["PING"]));
+        assert_eq!(client.answer(), "+PONG");
+        all.push(client);
+    }
+    // A client each of whose closes had to be waited for would take half a second.
+    assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
+}
+
+/// Its time ran while its command waited behind others in its line.
+#[test]
+fn a_command_that_waits_for_its_turn_tells_its_worker_what_is_left() {
+    let (worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    client.say(ask(8000));
+    let mut first = worker.next();
+    first.command();
+    let begun = Instant::now();
+    let mut rest = words(&["PING"]).repeat(127);
+    rest.extend(ask(8000));
+    client.say(rest);
+    node.settled();
+    while begun.elapsed() < Duration::from_millis(400) {
+        node.settled();
+    }
+    first.serve("first");
+    let mut line = worker.next();
+    let fields = line.command()[3].clone();
+    let told = fields.split(',').find_map(|f| f.strip_prefix("d=")).and_then(|d| d.parse::<u64>().ok());
+    assert!(told.is_some_and(|ms| ms < 7700), "{fields}");
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,7 +1,9 @@
 //! The built gatekeeper over loopback, against small fakes of clients, workers and discovery.
 
+mod clients;
 mod discovery;
 mod rig;
+mod shutdown;
 mod workers;
 
 use rig::*;
--- /dev/null
+++ b/tests/node/shutdown.rs
@@ -0,0 +1,164 @@
+//! Graceful shutdown, and what crosses it.
+
+use crate::rig::*;
+use std::io::Read;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Waits until nobody is taken in any more.
+fn shut(node: &Node) {
+    let begun = Instant::now();
+    while TcpStream::connect(node.at).is_ok() {
+        assert!(begun.elapsed() < LONG, "it still accepts");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A client that leaves during the shutdown is seen to: the process need not wait for an answer that nobody wants.
+#[test]
+fn a_client_that_leaves_during_the_shutdown_is_gone_at_once() {
+    for reset in [false, true] {
+        let (worker, _discovery, mut node) = one_worker();
+        let mut client = node.client();
+        client.say(ask(8000));
+        let mut out = worker.next();
+        out.command();
+        let begun = Instant::now();
+        node.signal("-TERM");
+        node.says(" stops");
+        shut(&node);
+        // Bytes that nobody reads any more stand before the end.
+        client.say(words(&["PING"]));
+        if reset {
+            client.reset();
+        } else {
+            drop(client);
+        }
+        assert!(node.exit().success());
+        assert!(begun.elapsed() < Duration::from_secs(5), "it waited for the worker: {:?}", begun.elapsed());
+        assert!(out.ended());
+    }
+}
+
+/// A connection on which there is always one more command does not keep the process alive, and all that reaches a worker is
+/// answered.
+#[test]
+fn a_client_that_never_stops_sending_is_ended_in_order() {
+    let (worker, _discovery, mut node) = one_worker();
+    let served = Arc::new(AtomicU64::new(0));
+    let count = served.clone();
+    thread::spawn(move || {
+        while let Ok(stream) = worker.came.recv() {
+            let count = count.clone();
+            thread::spawn(move || {
+                let mut line = Line::of(stream);
+                while line.read.get_mut().peek(&mut [0; 1]).is_ok_and(|n| n > 0) {
+                    line.command();
+                    count.fetch_add(1, Ordering::SeqCst);
+                    line.serve("value");
+                }
+            });
+        }
+    });
+    let mut client = node.client();
+    client.say(ask(8000));
+    let begun = Instant::now();
+    let mut answers = 0;
+    let mut signalled = false;
+    loop {
+        // The next one is there before the last is answered.
+        let _ = std::io::Write::write_all(client.read.get_mut(), &ask(8000));
+        let mut head = [0; 1];
+        match client.read.read(&mut head) {
+            Ok(1) if head[0] == b'$' => {
+                client.line();
+                assert_eq!(client.line(), "value");
+                answers += 1;
+            }
+            Ok(1) => assert_eq!(client.line(), "BUSY"),
+            Ok(_) => break,
+            Err(e) => panic!("reset over an answer: {e}"),
+        }
+        if answers > 20 && !std::mem::replace(&mut signalled, true) {
+            node.signal("-TERM");
+        }
+        assert!(begun.elapsed() < Duration::from_secs(10), "served on and on");
+    }
+    assert!(node.exit().success());
+    assert_eq!(answers, served.load(Ordering::SeqCst), "what has reached a worker is answered");
+}
+
+/// The table is full of clients that all have something in flight, and others stand in the listener's queue with their
+/// commands when the process is told to end: the kernel has accepted them, so they are answered.
+#[test]
+fn who_stands_in_the_listeners_queue_at_the_end_is_answered() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let mut node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let mut holders: Vec<(Line, Line)> = Vec::new();
+    while holders.len() < 64 * 33 / 100 {
+        let mut client = node.client();
+        client.say(ask(8000));
+        let mut line = worker.next();
+        line.command();
+        holders.push((client, line));
+    }
+    let mut queued: Vec<Line> = (0..3).map(|_| node.client()).collect();
+    for client in &mut queued {
+        client.say(ask(8000));
+    }
+    node.signal("-TERM");
+    node.says(" stops");
+    for _ in 0..3 {
+        let mut line = worker.next();
+        line.command();
+        line.serve("queued");
+    }
+    for client in &mut queued {
+        assert_eq!(client.answer(), "queued");
+        assert!(client.ended_in_order());
+    }
+    for (mut client, mut line) in holders {
+        line.serve("held");
+        assert_eq!(client.answer(), "held");
+        assert!(client.ended_in_order());
+    }
+    drop(queued);
+    assert!(node.exit().success());
+}
+
+#[test]
+fn further_signals_during_the_shutdown_change_nothing() {
+    let (worker, _discovery, mut node) = one_worker();
+    let mut client = node.client();
+    client.say(ask(8000));
+    let mut out = worker.next();
+    out.command();
+    node.signal("-TERM");
+    node.says(" stops");
+    for signal in ["-TERM", "-HUP", "-INT", "-TERM"] {
+        node.signal(signal);
+    }
+    shut(&node);
+    node.signal("-HUP");
+    out.serve("served");
+    assert_eq!(client.answer(), "served");
+    assert!(client.ended_in_order());
+    drop(client);
+    assert!(node.exit().success());
+}
+
+#[test]
+fn a_signal_before_the_first_list_ends_it_in_order() {
+    let silent = Door::open();
+    let mut node = spawn(&Setup::new(silent.at).config(), "exec");
+    // It listens, and waits for the list.
+    let _call = silent.next();
+    node.signal("-TERM");
+    node.says(" stops");
+    assert!(node.exit().success());
+    assert!(!node.log.lock().expect("whole").iter().any(|line| line.contains(" serves at ")));
+}
