Discovery: what is silent stays open beside later calls; the first to speak wins

Played with logs: discovery was silent from 0 to 7.9 s; the watch was given up at 3.02 s and each call after a second, with pauses of up to a second in which nothing was out. At its return the agent's word counts at once, and 250 ms later a request still went to a draining server. The code before had no such gap, as a call hung for 5 s.

Change: a silent watch and the two latest calls stay open; a further call is made each second; the first that gives a whole line is followed and the others are closed. Pauses begin anew after a watch that lasted half a second.

--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -1,4 +1,8 @@
 //! Discovery: the whole list, then a watch; and both again whenever that ends or falls silent.
+//!
+//! A call that is not answered may be answered yet: an agent that is silent while discovery is down speaks at its return, and
+//! what it says then counts at once. So whatever is silent stays open beside the calls that follow it, and goes once another
+//! one has spoken.
 
 use crate::backoff::Backoff;
 use crate::gateway::Shared;
@@ -8,12 +12,14 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
-use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::sync::{Notify, watch};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep_until};
 
 /// From the start of silence, or from when discovery can be reached again, to the list in effect: a change counts as told
 /// after this, whatever failed, was refused or given up in between. All times below are parts of it.
@@ -23,22 +29,22 @@
 #[cfg(test)]
 const TOLD_MOVED: Duration = Duration::from_secs(4);
 /// An empty line comes this often while nothing changes.
+#[cfg(test)]
 const PERIOD: Duration = Duration::from_secs(2);
-/// With no whole line for this long the watch is dead, whatever TCP thinks and whatever pieces of one still come.
+/// With no whole line for this long a watch is thought dead, whatever TCP says and whatever pieces of one still come.
 const SILENT: Duration = Duration::from_secs(3);
-/// From connecting to the whole list: the agent answers at once with what it has.
+/// The agent answers at once with what it has: without the whole list by then another call is made.
 const CALL: Duration = Duration::from_secs(1);
+/// So many calls are kept open beside a watch that has fallen silent.
+const CALLS_MOST: usize = 2;
+/// One that ends sooner than this after its list, each time, is called with growing pauses.
+const LASTED: Duration = Duration::from_millis(500);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
 
-/// Follows discovery for as long as the process lives. `rev` is the version of the list at hand. At a new
-/// address all begins anew: versions are its own, and what is on its way from the old one is dropped.
-pub async fn follow(
-    gateway: Shared,
-    mut at: watch::Receiver<SocketAddr>,
-    mut rev: Option<u64>,
-    mut backoff: Backoff,
-) {
+/// Follows discovery for as long as the process lives. At a new address all begins anew: versions are its own, and what is
+/// on its way from the old one is dropped.
+pub async fn follow(gateway: Shared, mut at: watch::Receiver<SocketAddr>, mut backoff: Backoff) {
     loop {
         let address = *at.borrow_and_update();
         tokio::select! {
@@ -48,59 +54,118 @@
                     return;
                 }
             }
-            () = follow_one(&gateway, address, rev.take(), &mut backoff) => {}
+            () = follow_one(&gateway, address, &mut backoff) => {}
         }
     }
 }
 
+/// Which session spoke last, and when.
+#[derive(Default)]
+struct Heard {
+    last: Cell<Option<(u64, Instant)>>,
+    news: Notify,
+}
+
+impl Heard {
+    fn from(&self, session: u64) {
+        self.last.set(Some((session, Instant::now())));
+        self.news.notify_one();
+    }
+}
+
 /// Follows discovery at one address without end.
-async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>, backoff: &mut Backoff) {
+async fn follow_one(gateway: &Shared, address: SocketAddr, backoff: &mut Backoff) {
     backoff.reset();
-    let mut complained = false;
+    let heard = Rc::new(Heard::default());
+    let mut sessions = JoinSet::new();
+    // Those that are open, the oldest first, and when the next one begins unless something is heard.
+    let mut open: Vec<(u64, AbortHandle)> = Vec::new();
+    let (mut last, mut due, mut complained) = (0, Instant::now(), false);
     loop {
-        let began = Instant::now();
-        let ended = session(gateway, address, &mut rev).await;
-        // One that ends as soon as it is there, each time, is not to be called without a pause.
-        if began.elapsed() >= PERIOD {
-            backoff.reset();
-            complained = false;
-        }
-        if let Err(e) = ended
-            && !std::mem::replace(&mut complained, true)
-        {
-            tracing::warn!("discovery at {address}: {e}; trying again");
+        tokio::select! {
+            () = heard.news.notified() => {
+                let Some((speaker, at)) = heard.last.get() else { continue };
+                open.retain(|(session, task)| {
+                    if *session != speaker {
+                        task.abort();
+                    }
+                    *session == speaker
+                });
+                due = at + SILENT;
+            }
+            Some(ended) = sessions.join_next() => {
+                let Ok((session, lasted, what)) = ended else { continue };
+                open.retain(|(other, _)| *other != session);
+                if lasted >= LASTED {
+                    backoff.reset();
+                    complained = false;
+                }
+                if !std::mem::replace(&mut complained, true) {
+                    tracing::warn!("discovery at {address}: {what}; trying again");
+                }
+                due = due.min(Instant::now() + Duration::from_secs_f64(backoff.pause() / 1000.0));
+            }
+            () = sleep_until(due) => {
+                if open.len() > CALLS_MOST {
+                    // The one that was a watch may speak again, and of the calls the latest.
+                    open.remove(1).1.abort();
+                }
+                last += 1;
+                let task = sessions.spawn_local(session(last, gateway.clone(), address, heard.clone()));
+                open.push((last, task));
+                due = Instant::now() + CALL;
+            }
         }
-        sleep(Duration::from_secs_f64(backoff.pause() / 1000.0)).await;
     }
 }
 
-/// One connection: the whole list, which comes at once where anything does, then a watch until it ends or is silent. What
-/// a former watch may have missed is in the list.
-async fn session(gateway: &Shared, address: SocketAddr, rev: &mut Option<u64>) -> Result<(), String> {
+/// One connection, until it ends: which it was, how long after its list, and how.
+async fn session(
+    number: u64,
+    gateway: Shared,
+    address: SocketAddr,
+    heard: Rc<Heard>,
+) -> (u64, Duration, String) {
     let mut driver = JoinSet::new();
-    let fetched = timeout(CALL, fetch(gateway, address, rev, &mut driver)).await;
-    let mut call = fetched.map_err(|_| "no list in time")??;
-    let path = format!("/v1/servers?stream=1&index={}", rev.unwrap_or(0));
+    let (mut call, rev) = match fetch(&gateway, address, &mut driver).await {
+        Ok(fetched) => fetched,
+        Err(what) => return (number, Duration::ZERO, what),
+    };
+    let began = Instant::now();
+    heard.from(number);
+    let ended = listen(&gateway, &mut call, address, rev, || heard.from(number)).await;
+    (number, began.elapsed(), ended.err().unwrap_or_else(|| "the watch ended".to_string()))
+}
+
+/// A watch from this version on, until it ends.
+async fn listen(
+    gateway: &Shared,
+    call: &mut SendRequest<Empty<Bytes>>,
+    address: SocketAddr,
+    rev: u64,
+    heard: impl Fn(),
+) -> Result<(), String> {
+    let mut body = get(call, address, &format!("/v1/servers?stream=1&index={rev}")).await?.into_body();
     let mut lines = Lines::default();
-    let mut due = Instant::now() + SILENT;
-    let mut body = silent_after(due, get(&mut call, address, &path)).await??.into_body();
-    while let Some(frame) = silent_after(due, body.frame()).await? {
+    while let Some(frame) = body.frame().await {
         let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
         lines.take(&data, |line| {
-            due = Instant::now() + SILENT;
-            if line.trim_ascii().is_empty() { Ok(()) } else { take(gateway, line, rev) }
+            if !line.trim_ascii().is_empty() {
+                take(gateway, line)?;
+            }
+            heard();
+            Ok(())
         })?;
     }
-    Err("the watch ended".into())
+    Ok(())
 }
 
-/// Connects and takes the whole list. The connection goes on in `driver`, which ends it when it is dropped.
+/// Connects and takes the whole list, which has this version. The connection goes on in `driver`, which ends it when it is dropped.
 async fn fetch(
     gateway: &Shared,
     address: SocketAddr,
-    rev: &mut Option<u64>,
     driver: &mut JoinSet<()>,
-) -> Result<SendRequest<Empty<Bytes>>, String> {
+) -> Result<(SendRequest<Empty<Bytes>>, u64), String> {
     let connecting = |e: &dyn std::fmt::Display| format!("connecting: {e}");
     let stream = TcpStream::connect(address).await.map_err(|e| connecting(&e))?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
@@ -117,18 +182,18 @@
             return Err("the list is too long".into());
         }
     }
-    take(gateway, &text, rev)?;
+    let rev = take(gateway, &text)?;
     call.ready().await.map_err(|e| format!("the list: {e}"))?;
-    Ok(call)
+    Ok((call, rev))
 }
 
-/// Takes one list, or what has changed in it, into effect.
-fn take(gateway: &Shared, text: &[u8], rev: &mut Option<u64>) -> Result<(), String> {
+/// Takes one list, or what has changed in it, into effect. Gives its version.
+fn take(gateway: &Shared, text: &[u8]) -> Result<u64, String> {
     let value = serde_json::from_slice(text).map_err(|e| format!("a line is no JSON: {e}"))?;
     let list = listed(&value).ok_or("a line is no list")?;
-    *rev = Some(list.rev);
+    let rev = list.rev;
     gateway.borrow_mut().listed(list);
-    Ok(())
+    Ok(rev)
 }
 
 /// Bytes that come in pieces, as lines.
@@ -154,11 +219,6 @@
     }
 }
 
-/// A watch that says nothing by then is dead.
-async fn silent_after<T>(due: Instant, said: impl Future<Output = T>) -> Result<T, String> {
-    timeout_at(due, said).await.map_err(|_| "the watch is silent".to_string())
-}
-
 async fn get(
     call: &mut SendRequest<Empty<Bytes>>,
     address: SocketAddr,
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -137,7 +137,6 @@
         spawn_local(frostvale_link::node::serve(door, links.clone(), agents));
         links
     });
-    let rev = known.as_ref().map(|list| list.rev);
     if let Some(list) = known {
         gateway.borrow_mut().listed(list);
     }
@@ -157,7 +156,7 @@
     });
     // Gatekeepers may have been given one seed.
     let backoff = backoff::Backoff::new(seed ^ u64::from(me) << 32);
-    spawn_local(discovery::follow(gateway.clone(), discovery, rev, backoff));
+    spawn_local(discovery::follow(gateway.clone(), discovery, backoff));
     let reloaded = gateway.clone();
     let mut outside = extra.outside;
     let (heard, mut own) = (links.clone(), extra.digest);
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -56,6 +56,30 @@
     drop((hung, asked));
 }
 
+/// Discovery is silent and comes back: what it then says counts at once, whether it answers the watch that was open or a call
+/// that was made meanwhile. All of them are still open, and the first that speaks is followed.
+#[test]
+fn what_has_hung_is_heard_when_it_speaks_after_all() {
+    for speaks in 0..3 {
+        let (old, new) = (Door::open(), Door::open());
+        let (discovery, mut node, watch) = by_hand(&list(1, true, &[target("s-1", old.at, "ready", 0)]));
+        serving(&mut node);
+        let mut open = vec![watch, discovery.next(), discovery.next()];
+        open[1..].iter_mut().for_each(|line| assert!(!line.call().contains("stream=1")));
+        let news = list(2, true, &[target("s-2", new.at, "ready", 0)]);
+        if speaks == 0 {
+            push(open[0].read.get_mut(), &news);
+        } else {
+            open[speaks].give(&news);
+            assert!(open[speaks].call().contains("stream=1"), "it goes on with this one");
+        }
+        for (which, line) in open.iter_mut().enumerate().filter(|(which, _)| *which != speaks) {
+            assert!(line.ended(), "{which} is closed when {speaks} has spoken");
+        }
+        goes_to(&node, &new);
+    }
+}
+
 /// Pieces of a line that never ends are a silence.
 #[test]
 fn a_line_that_never_ends_keeps_no_dead_watch_alive() {
