Cold servers among many gatekeepers: one lot a request, by the settings' multiple

`best_of` drew a cold server's part anew at each server that it looked at. A gatekeeper that has just restarted has no connection at rest, and one before a loaded fleet finds no room, so it looks at up to 64 servers: each cold one was considered for up to 9 in 100 of all requests, several times its share, from all at once. Ruled out: discovery (all had the start from the list), handshakes, the gap (the fleet's mean warmth was above it).

Change: in a warm fleet each request is dealt one server by lot, and no other cold one may get it; its part follows `Rules.FallMultiple`, which was not read, and so does the gap that stood at 1.5 for every customer.

The new test fails on the former module.

--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -379,6 +379,7 @@
             note_intake: s.gatekeepers.note_intake,
             cold_from: s.servers.cold_from,
             warm_within: s.servers.warm_s * 1000.0,
+            fall_multiple: s.servers.cold_times,
         };
         let seed = self.rng.next_u64();
         let mut mind = (self.make)(settings, seed)?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -70,7 +70,7 @@
 }
 
 /// What a gateway is told at its start.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// This gateway's number, from 0.
     pub me: u32,
@@ -94,6 +94,28 @@
     pub cold_from: f64,
     /// A server is warm no later than this after its start.
     pub warm_within: f64,
+    /// A cold server that is sent more than so many times what it can do falls over.
+    pub fall_multiple: f64,
+}
+
+impl Default for Settings {
+    /// Nothing but what has no meaning as nothing: a cold server bears as much as it can do.
+    fn default() -> Settings {
+        Settings {
+            me: 0,
+            gateways: 0,
+            zone: 0,
+            classes: Vec::new(),
+            plans: Vec::new(),
+            max_attempts: 0,
+            notes: false,
+            largest: 0.0,
+            note_intake: 0.0,
+            cold_from: 0.0,
+            warm_within: 0.0,
+            fall_multiple: 1.0,
+        }
+    }
 }
 
 impl Settings {
@@ -125,6 +147,9 @@
         if ![self.note_intake, self.cold_from, self.warm_within].into_iter().all(sound) {
             return bad("a bound or rule is negative or endless");
         }
+        if !(sound(self.fall_multiple) && self.fall_multiple > 0.0) {
+            return bad("a cold server's multiple is nothing, negative or endless");
+        }
         Ok(())
     }
 }
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -119,11 +119,19 @@
     largest: f64,
 }
 
-#[derive(Debug, Deserialize, Default)]
+#[derive(Debug, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 struct Rules {
     cold_from: f64,
     warm_within: f64,
+    fall_multiple: f64,
+}
+
+impl Default for Rules {
+    /// Where nothing is said a cold server is sent no more than it can do.
+    fn default() -> Self {
+        Rules { cold_from: 0.0, warm_within: 0.0, fall_multiple: 1.0 }
+    }
 }
 
 impl Conf {
@@ -165,6 +173,7 @@
             note_intake: self.domain.peer_intake,
             cold_from: self.rules.cold_from,
             warm_within: self.rules.warm_within,
+            fall_multiple: self.rules.fall_multiple,
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,10 +8,11 @@
 mod checks;
 mod lives;
 mod sight;
+mod warm_up;
 
 use crate::api::*;
 use crate::ceiling::Dealing;
-use crate::estimate::{ALIKE_PEERS, SIDE_BY_SIDE, Seen, View};
+use crate::estimate::{ALIKE_PEERS, Seen, View};
 use crate::hands::{Hands, Waits};
 use crate::live::*;
 use crate::lots::Lots;
@@ -29,6 +30,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
+use warm_up::{COLD_PART, Dealt};
 
 /// How many times the accepts may be sent on: with success under 1/K all but the minimum is refused.
 const K: f64 = 2.0;
@@ -79,18 +81,12 @@
 /// Further attempts earned by each request, and the most that are saved up.
 const RETRY_PART: f64 = 0.15;
 const RETRY_MOST: f64 = 10.0;
-/// A cold server gets this part of what its share of capacity would allow it.
-const COLD_PART: f64 = 0.9;
-/// All gateways together send it at most so many times what it is thought to bear.
-const COLD_TIMES: f64 = 1.5;
 /// After so many answers one of many gateways goes by how long they took.
 const LEARNED: f64 = 10.0;
-/// One of many gateways looks at servers to which it has no connection at rest for so many of its requests,
-/// and at so many of the cold ones for each; connections last about so long.
+/// One of many gateways looks at servers to which it has no connection at rest for so many of its requests;
+/// connections last about so long.
 const NEW_PART: f64 = 0.1;
 const RESTS_MS: f64 = 10_000.0;
-/// With many gateways, cold servers need no gap while the fleet's mean warmth is above this.
-const BEARS: f64 = 0.4;
 /// How long a server without room rests, for each gateway, before one request looks again.
 const PEEK_MS: f64 = 250.0;
 /// Timers: of rumours, of notes, and from the next on of questions that wait.
@@ -729,12 +725,13 @@
         // Each of many meets a server seldom: a new connection each time would cost more than it gains. With
         // a part of the others looked at beside, of a large fleet most of what was seen was new.
         let kept = kept && self.rng.random::<f64>() >= NEW_PART;
-        let at_rest = kept.then(|| self.best_of(want, true)).flatten();
-        at_rest.or_else(|| self.best_of(want, false))
+        let mut dealt = None;
+        let at_rest = kept.then(|| self.best_of(want, true, &mut dealt)).flatten();
+        at_rest.or_else(|| self.best_of(want, false, &mut dealt))
     }
 
     /// The same, if so wanted of those with a connection at rest alone.
-    fn best_of(&mut self, want: Want, at_rest: bool) -> Option<Name> {
+    fn best_of(&mut self, want: Want, at_rest: bool, dealt: &mut Dealt) -> Option<Name> {
         let Want { class, most, group, avoid } = want;
         let drawn = self.servers.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
@@ -746,8 +743,6 @@
         let many = self.many();
         let view = View { fleet: &self.fleet, cfg: &self.cfg, servers: self.servers.len(), now: self.now };
         let means = view.means();
-        // Where most of the fleet is warm, parts alone keep a cold server far from what it can't bear, and a
-        // gap for each of many gateways would keep nearly all of them away from it.
         let mut bears: Option<bool> = None;
         let mut best: Option<(f64, u32)> = None;
         let mut seen = 0.0;
@@ -755,14 +750,20 @@
             let number = drawn[k];
             let Some(s) = self.servers.at(number).filter(|s| avoid != Some(&s.name)) else { continue };
             let warmth = view.warmth(s);
+            let cold = warmth < 1.0;
+            let bears = cold && *bears.get_or_insert_with(|| self.bears(drawn));
             // Were it chosen each time, a cold server would get its part of a warm one's share.
             let part = COLD_PART * warmth / if many { 1.0 } else { look };
-            if warmth < 1.0 && self.rng.random::<f64>() >= part {
+            let passes = match bears {
+                true => warm_up::dealt(dealt, drawn, &self.servers, view, &mut self.rng) == Some(number),
+                false => !cold || self.rng.random::<f64>() < part,
+            };
+            if !passes {
                 continue;
             }
             let rests = s.out.is_empty() && s.rested_at > self.now - RESTS_MS;
-            // With a cold one nobody has a connection yet: it is drawn beside, by its part.
-            if at_rest && !rests && (warmth >= 1.0 || self.rng.random::<f64>() >= NEW_PART) {
+            // With a cold one nobody has a connection yet: it is looked at beside, where it was dealt.
+            if at_rest && !rests && !bears && !(cold && self.rng.random::<f64>() < NEW_PART) {
                 continue;
             }
             let ill = self.rumors.of(self.now, &s.name);
@@ -770,14 +771,8 @@
                 continue;
             }
             // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
-            let gap = view.pace(s) * f64::from(self.cfg.gateways) / (COLD_TIMES * SIDE_BY_SIDE);
-            let mean = || {
-                let some = drawn.iter().take(DRAW_MOST).filter_map(|k| self.servers.at(*k));
-                let (sum, count) = some.fold((0.0, 0.0), |(sum, n), s| (sum + view.warmth(s), n + 1.0));
-                sum / f64::max(count, 1.0)
-            };
-            let bears = warmth >= 1.0 || *bears.get_or_insert_with(|| many && mean() > BEARS);
-            if !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
+            let gap = warm_up::gap(view.pace(s), &self.cfg);
+            if cold && !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
                 continue;
             }
             // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -31,6 +31,7 @@
         note_intake: 50.0,
         cold_from: 0.2,
         warm_within: 10_000.0,
+        fall_multiple: 2.0,
         ..Settings::default()
     }
 }
@@ -810,6 +811,45 @@
     assert!(cold >= 10, "{cold} to the cold server in its first second");
 }
 
+/// What all gateways together send to one server that has just started, of sixty, in its first second. All of them have just
+/// restarted, so that none has a connection at rest, and `busy` of the others have no room as far as they tell.
+fn to_a_cold_one(gateways: u32, busy: u32) -> u32 {
+    let servers: Vec<Server> = (0..60)
+        .map(|k| Server { since: if k == 59 { 13_000.0 } else { 0.0 }, ..line(&format!("s{k}"), 0) })
+        .collect();
+    let mut tier: Vec<Control> = (0..gateways)
+        .map(|me| {
+            let cfg = Settings { gateways, me, ..settings() };
+            let mut g = Control::new(cfg, u64::from(me) + 1).expect("sound settings");
+            g.handle(13_000.0, Event::Servers { listing: Listing::Complete, servers: servers.clone() });
+            g
+        })
+        .collect();
+    let mut cold = 0;
+    for k in 0..1500u64 {
+        let (me, now) = ((k % u64::from(gateways)) as u32, 13_000.0 + k as f64 / 1.5);
+        let g = &mut tier[me as usize];
+        let Some(server) = sent(&g.handle(now, alone(me, k, now))) else { continue };
+        cold += u32::from(server == "s59");
+        let Event::Outcome(o) = end(k, &server, Ending::Ok, 50.0) else { unreachable!("an outcome") };
+        let full = server[1..].parse().is_ok_and(|k: u32| k < busy);
+        let report = Some(Report { busy: Some(if full { 0.95 } else { 0.2 }), ..Report::default() });
+        g.handle(now + 0.1, Event::Outcome(Outcome { report, ..o }));
+    }
+    cold
+}
+
+/// A warm one gets 25 requests in that second and bears 40; a fifth of it is 8, and twice that is allowed, with 10 for chance.
+#[test]
+fn gateways_that_have_just_restarted_keep_a_cold_server_within_its_budget() {
+    for gateways in [16, 17, 24, 32, 100, 300] {
+        for busy in [0, 30, 55] {
+            let cold = to_a_cold_one(gateways, busy);
+            assert!(cold <= 26, "{cold} from {gateways} gateways where {busy} others are busy");
+        }
+    }
+}
+
 /// Servers that tell only how busy their cores are, by a report in each answer. Each of three in turn is the busy one.
 #[test]
 fn a_server_whose_cores_are_busy_is_left_to_others() {
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -27,6 +27,7 @@
         note_intake: 60.0,
         cold_from: 0.2,
         warm_within: 10_000.0,
+        fall_multiple: 2.0,
         ..Settings::default()
     }
 }
@@ -104,7 +105,7 @@
     while let Some(((at, _), event)) = due.pop_first() {
         let now = at as f64 / 1000.0;
         for action in g.handle(now, event) {
-            mix(&mut day.hash, &format!("{now} {action:?}"));
+            mix(&mut day.hash, &format!("{now} {}", as_recorded(&action)));
             match action {
                 Action::Send { id, server: name, .. } => {
                     let k: u32 = name[1..].parse().expect("a number");
@@ -143,6 +144,16 @@
     day
 }
 
+/// As it was written when the days were recorded: until when an attempt may begin was not said yet.
+fn as_recorded(action: &Action) -> String {
+    match action {
+        Action::Send { id, server, not_past, .. } => {
+            format!("Send {{ id: {id}, server: {server:?}, not_past: {not_past:?} }}")
+        }
+        other => format!("{other:?}"),
+    }
+}
+
 fn all_servers() -> Event {
     Event::Servers { listing: Listing::Complete, servers: (0..30).map(server).collect() }
 }
