Cold servers are dealt requests by their part of what the fleet can do, together

Change: a request is dealt to the cold servers as a group, as often as they are of what the fleet can do (at most 1.2 times; half of what pushes them over), and then looks at any of them; others look at warm ones alone. What the group is sent stays bounded, and a full one gives way to another cold one. How warm the fleet is is looked at ten times a second, not for each choice.

The test on restarted gatekeepers passes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,7 +30,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
-use warm_up::{COLD_PART, Dealt};
+use warm_up::{Among, COLD_PART, Ramp};
 
 /// How many times the accepts may be sent on: with success under 1/K all but the minimum is refused.
 const K: f64 = 2.0;
@@ -115,6 +115,7 @@
     passed: Vec<f64>,
     retries: f64,
     room: f64,
+    ramp: Ramp,
     actions: Vec<Action>,
 }
 
@@ -160,6 +161,7 @@
             passed: vec![f64::NEG_INFINITY; tiers],
             retries: RETRY_MOST,
             room: ROOM * (1.5 - 0.5 * (ALIKE_PEERS / f64::from(cfg.gateways)).min(1.0)),
+            ramp: Ramp::default(),
             actions: Vec::new(),
             cfg,
         })
@@ -725,13 +727,14 @@
         // Each of many meets a server seldom: a new connection each time would cost more than it gains. With
         // a part of the others looked at beside, of a large fleet most of what was seen was new.
         let kept = kept && self.rng.random::<f64>() >= NEW_PART;
-        let mut dealt = None;
-        let at_rest = kept.then(|| self.best_of(want, true, &mut dealt)).flatten();
-        at_rest.or_else(|| self.best_of(want, false, &mut dealt))
+        // Of a warm fleet's cold servers each request may be one's by lot, and otherwise goes to none.
+        let dealt = self.deals_cold().then(|| self.best_of(want, Among::Cold)).flatten();
+        let at_rest = || kept.then_some(Among::AtRest);
+        dealt.or_else(|| self.best_of(want, at_rest()?)).or_else(|| self.best_of(want, Among::All))
     }
 
-    /// The same, if so wanted of those with a connection at rest alone.
-    fn best_of(&mut self, want: Want, at_rest: bool, dealt: &mut Dealt) -> Option<Name> {
+    /// The same, of some alone.
+    fn best_of(&mut self, want: Want, among: Among) -> Option<Name> {
         let Want { class, most, group, avoid } = want;
         let drawn = self.servers.of(group);
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
@@ -743,7 +746,6 @@
         let many = self.many();
         let view = View { fleet: &self.fleet, cfg: &self.cfg, servers: self.servers.len(), now: self.now };
         let means = view.means();
-        let mut bears: Option<bool> = None;
         let mut best: Option<(f64, u32)> = None;
         let mut seen = 0.0;
         while let Some(k) = lots.next(&mut self.rng) {
@@ -751,19 +753,18 @@
             let Some(s) = self.servers.at(number).filter(|s| avoid != Some(&s.name)) else { continue };
             let warmth = view.warmth(s);
             let cold = warmth < 1.0;
-            let bears = cold && *bears.get_or_insert_with(|| self.bears(drawn));
             // Were it chosen each time, a cold server would get its part of a warm one's share.
-            let part = COLD_PART * warmth / if many { 1.0 } else { look };
-            let passes = match bears {
-                true => warm_up::dealt(dealt, drawn, &self.servers, view, &mut self.rng) == Some(number),
-                false => !cold || self.rng.random::<f64>() < part,
+            let part = match among {
+                Among::Cold => warmth / self.ramp.warmth,
+                _ if self.ramp.bears => 0.0,
+                _ => COLD_PART * warmth / if many { 1.0 } else { look },
             };
-            if !passes {
+            if cold && self.rng.random::<f64>() >= part || !cold && among == Among::Cold {
                 continue;
             }
             let rests = s.out.is_empty() && s.rested_at > self.now - RESTS_MS;
-            // With a cold one nobody has a connection yet: it is looked at beside, where it was dealt.
-            if at_rest && !rests && !bears && !(cold && self.rng.random::<f64>() < NEW_PART) {
+            // With a cold one nobody has a connection yet: it is looked at beside, by its part.
+            if among == Among::AtRest && !rests && !(cold && self.rng.random::<f64>() < NEW_PART) {
                 continue;
             }
             let ill = self.rumors.of(self.now, &s.name);
@@ -772,7 +773,7 @@
             }
             // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
             let gap = warm_up::gap(view.pace(s), &self.cfg);
-            if cold && !bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
+            if cold && !self.ramp.bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
                 continue;
             }
             // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as
