--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -64,7 +64,7 @@
         let (old, new) = (Door::open(), Door::open());
         let (discovery, mut node, watch) = by_hand(&list(1, true, &[target("s-1", old.at, "ready", 0)]));
         serving(&mut node);
-        let mut open = vec![watch, discovery.next(), discovery.next()];
+        let mut open = [watch, discovery.next(), discovery.next()];
         open[1..].iter_mut().for_each(|line| assert!(!line.call().contains("stream=1")));
         let news = list(2, true, &[target("s-2", new.at, "ready", 0)]);
         if speaks == 0 {
