The last place of a full table, the queue at the end, and clients that leave in one turn

Ruled out: the module refusing an old attempt's worker (targets of 60 s changed nothing; they are kept, as 3 s of a slow machine would do it), descriptors (no line on them in the log), another test's client. At fault was `Clients::accept` with `evict`: the table was full with the connection it had just taken in, and that one, its command unread, was the only one between requests, so it was closed at once.

Found beside it by reading: `accept_rest` took an error or a spent budget of the runtime for an empty queue; `until_end` closed over what stood unread behind the last answer of the shutdown; `send` began a further attempt though the client's end had come in the same turn; `look` told a client that had sent nothing an error, which a request sent just then would have for its answer.

Change: who has only just come has 0.2 s; while silent newcomers are a flood only they give way; the queue is emptied with no budget and waits for descriptors; a state `Declining` refuses what is read too late; an attempt asks whether its client has left; silence ends without a word.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -13,7 +13,9 @@
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::Shutdown;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Context, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -27,7 +29,8 @@
 /// Room that a connection keeps between commands, and has however full the memory is.
 const KEPT: usize = 16 * 1024;
 /// A client's first command, and the rest of any that it has begun, is there within this time, however it
-/// dribbles. What it was sent and doesn't take is as much a silence.
+/// dribbles. What it was sent and doesn't take is as much a silence. One that has sent nothing at all is not told so: what it
+/// sends just then would have that for its answer.
 const SPEAK: Duration = Duration::from_millis(2500);
 /// After the end of our sending the client has this long to read what it was sent and to end its own: a close over
 /// bytes that nobody has read is a reset, which can take the last answer with it.
@@ -43,6 +46,8 @@
     Resting,
     /// The process stops: it ends once nothing is in flight. What is there by then is still served.
     Stopping,
+    /// Nothing more is begun, as the process stops: it ends once all that was is answered, and what is there by then is refused.
+    Declining,
     /// Nothing more is begun. It ends once all that was is answered.
     Closing,
     /// Our sending has ended. What still comes is read, for a time, and dropped.
@@ -54,8 +59,10 @@
 /// What the client is waited for.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Awaits {
-    /// Its first command.
+    /// Its first command, of which nothing is there.
     First,
+    /// The rest of its first command.
+    FirstRest,
     /// The rest of a command.
     Rest,
     /// One more command, or nothing.
@@ -114,6 +121,13 @@
             self.wake.notify_one();
         }
     }
+
+    /// Whether its end has come, as far as the runtime knows. Its task may not have had its turn since.
+    fn has_left(&self) -> bool {
+        let mut gone = pin!(self.gone());
+        self.life.get() == Life::Over
+            || gone.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
+    }
 }
 
 impl Client {
@@ -139,7 +153,7 @@
 
     /// Whether it has sent a whole command.
     pub fn spoke(&self) -> bool {
-        self.awaits.get().0 != Awaits::First
+        !matches!(self.awaits.get().0, Awaits::First | Awaits::FirstRest)
     }
 
     /// When the last answer was given or command came.
@@ -261,9 +275,10 @@
             return;
         }
         match self.awaits.get() {
-            (Awaits::First | Awaits::Rest, since) if past(since, SPEAK) => {
+            (Awaits::FirstRest | Awaits::Rest, since) if past(since, SPEAK) => {
                 self.refuse("no whole command in time")
             }
+            (Awaits::First, since) if past(since, SPEAK) => self.to(Life::Resting),
             (Awaits::Next, since) if past(since, rest) => self.to(Life::Resting),
             _ => {}
         }
@@ -317,8 +332,11 @@
             if room && !bytes.is_empty() {
                 match self.take(gateway, &mut bytes, came) {
                     Ok(true) => continue,
-                    Ok(false) if self.awaits.get().0 == Awaits::Next => self.awaits.set((Awaits::Rest, came)),
-                    Ok(false) => {}
+                    Ok(false) => match self.awaits.get() {
+                        (Awaits::Next, _) => self.awaits.set((Awaits::Rest, came)),
+                        (Awaits::First, since) => self.awaits.set((Awaits::FirstRest, since)),
+                        _ => {}
+                    },
                     Err(broken) => {
                         bytes = Vec::new();
                         self.refuse(broken.0);
@@ -347,6 +365,14 @@
                         return Ok(());
                     }
                 }
+                Life::Declining if idle => {
+                    self.life.set(Life::Closing);
+                    if self.read(&mut bytes)? {
+                        came = Instant::now();
+                        continue;
+                    }
+                    return Ok(());
+                }
                 Life::Closing if idle => return Ok(()),
                 _ => {}
             }
@@ -432,7 +458,7 @@
     fn begin(self: &Rc<Client>, gateway: &Shared, bytes: &[u8], command: &Command, came: Instant) {
         let name = command.part(bytes, 0);
         if name == b"Q.ASK" || name == b"Q.DO" {
-            if self.life.get() == Life::Closing {
+            if self.life.get() >= Life::Declining {
                 return self.say(b"-BUSY\r\n");
             }
             let ask = {
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -3,12 +3,15 @@
 use crate::budget::Budget;
 use crate::client::{Client, Life};
 use crate::gateway::Shared;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::{unconstrained, yield_now};
 use tokio::time::{sleep, timeout};
 
 /// One that asks nothing more is closed after this time; after the shorter one while the table is half full.
@@ -18,6 +21,8 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// With no room and nobody to make any, a new connection is looked for again after this time.
 const FULL: Duration = Duration::from_millis(20);
+/// One that has only just come gets so long to say something before its room is wanted: its command may still be on its way.
+const FRESH: Duration = Duration::from_millis(200);
 /// Beside a full table one connection in so many may still linger after our end of it.
 const LINGERING_PART: usize = 8;
 
@@ -25,6 +30,8 @@
 pub struct Clients {
     all: RefCell<HashMap<u64, Rc<Client>>>,
     most: usize,
+    /// What a connection's life begins as.
+    begins: Cell<Life>,
     /// Told when a connection has ended on our side, and when it is gone.
     room: Rc<Notify>,
     reading: Budget,
@@ -36,7 +43,8 @@
     /// what of answers they do not take.
     pub fn new(most: usize, memory: usize) -> Rc<Clients> {
         let (reading, unread) = (Budget::new(memory), Budget::new(memory));
-        Rc::new(Clients { all: RefCell::default(), most, room: Rc::default(), reading, unread })
+        let begins = Cell::new(Life::Open);
+        Rc::new(Clients { all: RefCell::default(), most, begins, room: Rc::default(), reading, unread })
     }
 
     /// The task that ends connections whose time is up.
@@ -57,8 +65,9 @@
         }
     }
 
-    /// Moves all connections on to this.
+    /// Moves all connections on to this, also those that still come.
     pub fn all_to(&self, life: Life) {
+        self.begins.set(life);
         self.all.borrow().values().for_each(|client| client.to(life));
     }
 
@@ -77,13 +86,17 @@
         lingering.into_iter().take(over).for_each(|c| c.to(Life::Over));
     }
 
-    /// Has the connection closed that has been between requests the longest: one that never spoke where those
+    /// Has the connection closed that has been between requests the longest: only one that never spoke where those
     /// hold over half of the table. Fewer of them may be pools that are opened ahead, and say nothing yet.
     fn evict(&self) {
-        let all = self.all.borrow();
+        let (all, now) = (self.all.borrow(), Instant::now());
         let flood = all.values().filter(|c| !c.spoke()).count() > self.most / 2;
-        let resting = all.values().filter(|c| c.rests());
-        if let Some(client) = resting.min_by_key(|c| (flood && c.spoke(), c.used())) {
+        let gives_way = |c: &Client| match c.spoke() {
+            true => !flood,
+            false => now.saturating_duration_since(c.used()) >= FRESH,
+        };
+        let resting = all.values().filter(|c| c.rests() && gives_way(c));
+        if let Some(client) = resting.min_by_key(|c| c.used()) {
             client.to(Life::Resting);
         }
     }
@@ -117,16 +130,22 @@
     }
 
     /// Takes in what still stands in the listener's queue, with room in the table or without: the kernel has accepted
-    /// it, and what it has sent with it, and would reset it with the listener.
+    /// it, and what it has sent with it, and would reset it with the listener. Where descriptors have run out it waits
+    /// for connections to end.
     pub async fn accept_rest(self: &Rc<Self>, listener: &TcpListener, gateway: &Shared) {
+        let mut looked = false;
         loop {
-            tokio::select! {
-                biased;
-                came = listener.accept() => match came {
-                    Ok((stream, _)) => self.admit(stream, gateway),
-                    Err(_) => return,
-                },
-                () = std::future::ready(()) => return,
+            // However many there are: with a budget of the runtime's the queue would look empty once that is spent.
+            let accepted = unconstrained(poll_fn(|cx| Poll::Ready(listener.poll_accept(cx)))).await;
+            match accepted {
+                Poll::Ready(Ok((stream, _))) => self.admit(stream, gateway),
+                Poll::Ready(Err(_)) if !self.all.borrow().is_empty() => {
+                    self.cut_lingering(0);
+                    sleep(FULL).await;
+                }
+                // What has come since the runtime last asked the kernel is not known of yet.
+                Poll::Pending if !std::mem::replace(&mut looked, true) => yield_now().await,
+                _ => return,
             }
         }
     }
@@ -134,6 +153,7 @@
     fn admit(self: &Rc<Self>, stream: TcpStream, gateway: &Shared) {
         let client =
             Rc::new(Client::new(stream, self.reading.share(), self.unread.share(), self.room.clone()));
+        client.to(self.begins.get());
         let number = gateway.borrow_mut().next_id();
         self.all.borrow_mut().insert(number, client.clone());
         let (clients, gateway) = (self.clone(), gateway.clone());
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -33,6 +33,8 @@
 pub trait Caller {
     /// Gives the final answer, once.
     fn answer(&self, id: u64, bytes: &[u8]);
+    /// Whether it has gone, though nobody has said so yet.
+    fn has_left(&self) -> bool;
 }
 
 /// Who asked for a check.
@@ -456,6 +458,10 @@
         if not_past <= now || r.client.is_none() {
             return self.end(id, Ending::Moot, None);
         }
+        // What ended the attempt before, or the wait, may have come in one turn with the client's end.
+        if r.client.as_ref().is_some_and(|client| client.has_left()) {
+            return self.left(id);
+        }
         self.at(not_past, Due::Attempt(id, number));
         // A connection that breaks before anything is written has cost nothing: the next one is as good.
         while let Some(conn) = self.workers.take(&server, now - REST_MS) {
--- a/src/bin/frostvale/shutdown.rs
+++ b/src/bin/frostvale/shutdown.rs
@@ -24,11 +24,15 @@
 pub async fn graceful(clients: &Rc<Clients>, listener: TcpListener, gateway: &Shared) {
     let began = Instant::now();
     let _ = timeout_at(began + ACCEPT, clients.clone().accept(&listener, gateway.clone())).await;
-    clients.accept_rest(&listener, gateway).await;
-    drop(listener);
     clients.all_to(Life::Stopping);
-    if timeout_at(began + GRACE - TURN, clients.all_left()).await.is_err() {
-        clients.all_to(Life::Closing);
+    let ended = async {
+        clients.accept_rest(&listener, gateway).await;
+        drop(listener);
         clients.all_left().await;
+    };
+    tokio::pin!(ended);
+    if timeout_at(began + GRACE - TURN, &mut ended).await.is_err() {
+        clients.all_to(Life::Declining);
+        ended.await;
     }
 }
--- a/tests/node/workers.rs
+++ b/tests/node/workers.rs
@@ -151,3 +151,53 @@
     line.serve("back");
     assert_eq!(client.answer(), "back");
 }
+
+/// On a connection at rest comes half a line, a second answer or another's, and the process has not heard of it when the next
+/// request comes: that one goes out on another connection and gets its own answer.
+#[test]
+fn what_comes_on_a_resting_connection_meets_no_request() {
+    for odd in ["*", "*3\r\n$1\r\na\r\n$-1\r\n$-1\r\n", "-BUSY\r\n", "\r\n"] {
+        let (worker, _discovery, node) = one_worker();
+        let mut client = node.client();
+        client.say(order("pay", 30_000));
+        let mut line = worker.next();
+        line.command();
+        line.serve("one");
+        assert_eq!(client.answer(), "one");
+        thread::sleep(RESTED);
+        node.freeze();
+        line.say(odd);
+        line.arrived();
+        client.say(order("pay", 30_000));
+        client.arrived();
+        node.thaw();
+        let mut fresh = worker.next();
+        fresh.command();
+        assert!(!line.speaks(), "{odd:?}");
+        fresh.serve("two");
+        assert_eq!(client.answer(), "two", "{odd:?}");
+        assert!(line.ended(), "{odd:?}");
+    }
+}
+
+/// A worker ends its connection in the moment in which a request is written to it: what may be repeated goes to the other
+/// worker, what may not has failed, and neither is sent twice.
+#[test]
+fn a_worker_that_ends_its_connection_under_a_request_has_it_repeated_as_its_class_allows() {
+    for (class, answer) in [("read", "two"), ("pay", "-ERR failed")] {
+        let (a, b, _discovery, node) = two_workers();
+        let (at_a, at_b) = rested(&a, &b, &node);
+        let mut client = node.client();
+        client.say(if class == "read" { ask(30_000) } else { order(class, 30_000) });
+        let (mut out, mut other) = spoken_to(at_a, at_b);
+        out.command();
+        out.finish();
+        if class == "read" {
+            other.command();
+            other.serve("two");
+        }
+        assert_eq!(client.answer(), answer, "{class}");
+        node.settled();
+        assert!(!other.speaks() && a.nobody() && b.nobody(), "{class}");
+    }
+}
