--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -94,14 +94,9 @@
         let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
         let whole: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
         let told = |name: &str, other: String| env::var(name).ok().filter(|v| !v.is_empty()).unwrap_or(other);
+        file.settings.check().map_err(|e| format!("{path}: {e}"))?;
         let settings = file.settings.settings();
         settings.check().map_err(|e| format!("{path}: {e}"))?;
-        if settings.me >= settings.gateways {
-            return Err(format!(
-                "{path}: settings: Me is {} of {} gatekeepers",
-                settings.me, settings.gateways
-            ));
-        }
         // A new start must not draw the lots of the last one, nor those of its peers.
         let seed = u64::from_str_radix(file.seed.trim(), 16).map_err(|e| format!("{path}: seed: {e}"))?;
         let peers = file.peers.iter().map(|p| address("peers", p)).collect::<Result<Vec<_>, _>>()?;
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -3,6 +3,8 @@
 
 use crate::api::*;
 use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::fmt::Display;
 
 /// The object of settings that a gateway is given at its start.
 #[derive(Debug, Deserialize)]
@@ -134,7 +136,80 @@
     }
 }
 
+/// The longest time that is taken, in milliseconds: a day.
+const TIME_MOST: f64 = 86_400_000.0;
+/// The most units, worth and factors that are taken.
+const FIGURE_MOST: f64 = 1e9;
+/// The least of what can't be nothing.
+const LEAST: f64 = 0.001;
+/// The most gateways that are taken.
+const GATEWAYS_MOST: u32 = 65_536;
+
+/// Whether a figure of the settings lies within its range, both ends included.
+fn within(field: impl Display, figure: f64, (least, most): (f64, f64)) -> Result<(), SettingsError> {
+    if (least..=most).contains(&figure) {
+        return Ok(());
+    }
+    Err(SettingsError(format!("{field} is {figure}, and has to be from {least} to {most}")))
+}
+
+/// Whether each of some names is there and stands once.
+fn named<'a>(what: &str, names: impl Iterator<Item = &'a str>) -> Result<(), SettingsError> {
+    let mut seen = BTreeSet::new();
+    for (k, name) in names.enumerate() {
+        if !seen.insert(name) {
+            return Err(SettingsError(format!("{what}[{k}].Name is {name:?}, which stands there before")));
+        }
+    }
+    Ok(())
+}
+
 impl Conf {
+    /// Whether all figures are within what can be acted on.
+    ///
+    /// # Errors
+    /// Names the first that is not, as the settings have it, and its range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let (time, figure) = ((0.0, TIME_MOST), (0.0, FIGURE_MOST));
+        within("Balancers", f64::from(self.balancers), (1.0, f64::from(GATEWAYS_MOST)))?;
+        within("Me", f64::from(self.me), (0.0, f64::from(self.balancers - 1)))?;
+        if self.classes.is_empty() {
+            return Err(SettingsError("Classes holds no class, and has to hold one at the least".into()));
+        }
+        named("Classes", self.classes.iter().map(|c| c.name.as_str()))?;
+        named("Plans", self.plans.iter().map(|p| p.name.as_str()))?;
+        for (k, c) in self.classes.iter().enumerate() {
+            let of = |field| format!("Classes[{k}].{field}");
+            within(of("Target"), c.target, (LEAST, TIME_MOST))?;
+            within(of("Deadline"), c.deadline, time)?;
+            within(of("Worth"), c.worth, figure)?;
+            within(of("LateWorth"), c.late_worth, figure)?;
+            let least = if c.effect == EffectWord::ByKey { LEAST } else { 0.0 };
+            within(of("Window"), c.window, (least, TIME_MOST))?;
+        }
+        for (k, p) in self.plans.iter().enumerate() {
+            let of = |field| format!("Plans[{k}].{field}");
+            within(of("UnitsPerS"), p.units_per_s, figure)?;
+            within(
+                of("PeakUnits"),
+                p.peak_units,
+                (if p.units_per_s > 0.0 { LEAST } else { 0.0 }, FIGURE_MOST),
+            )?;
+            within(of("ValueFactor"), p.value_factor, figure)?;
+            within(of("OverCost"), p.over_cost, figure)?;
+            within(of("CapRate"), p.cap_rate, figure)?;
+            within(of("CapDepth"), p.cap_depth, figure)?;
+            within(of("CeilingSlack"), p.ceiling_slack, figure)?;
+        }
+        within("Bounds.ConnectTimeout", self.bounds.connect_timeout, time)?;
+        within("Bounds.ConnIdle", self.bounds.conn_idle, time)?;
+        within("Domain.PeerIntake", self.domain.peer_intake, figure)?;
+        within("Domain.Largest", self.domain.largest, figure)?;
+        within("Rules.ColdFrom", self.rules.cold_from, (0.0, 1.0))?;
+        within("Rules.WarmWithin", self.rules.warm_within, time)?;
+        within("Rules.FallMultiple", self.rules.fall_multiple, (LEAST, FIGURE_MOST))
+    }
+
     /// What the module needs of them.
     #[must_use]
     pub fn settings(&self) -> Settings {
--- a/tests/node/clients.rs
+++ b/tests/node/clients.rs
@@ -21,7 +21,7 @@
         out.command();
         client.say(rest);
         node.settled();
-        leave(client);
+        node.left_by(client, leave);
         node.settled();
         drop(out);
         node.settled();
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod discovery;
 mod rig;
+mod settings;
 mod shutdown;
 mod workers;
 
