--- /dev/null
+++ b/src/roster/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+use proptest::prelude::*;
+
+proptest! {
+    /// Whatever comes, goes and moves, each group holds just its own, once, and a number means one server.
+    #[test]
+    fn each_group_holds_its_own(events in prop::collection::vec((0u8..20, 0u32..3, 0u32..4, 0u8..3), 0..200)) {
+        let (mut roster, mut model) = (Roster::default(), BTreeMap::new());
+        let mut known: BTreeMap<Name, u32> = BTreeMap::new();
+        for (k, zone, cell, what) in events {
+            let name: Name = format!("s{k}").as_str().into();
+            let (number, _) = roster.entry(&name, || Live { name: name.clone(), ..Live::default() });
+            prop_assert_eq!(*known.entry(name.clone()).or_insert(number), number);
+            match what {
+                0 => {
+                    roster.up(number, zone, cell);
+                    model.insert(name, (zone, cell));
+                }
+                1 => {
+                    roster.down(number);
+                    model.remove(&name);
+                }
+                _ => {
+                    roster.retain(|s| s.name != name);
+                    model.remove(&name);
+                    known.remove(&name);
+                }
+            }
+            prop_assert_eq!(roster.len(), known.len());
+        }
+        prop_assert!(known.iter().all(|(name, number)| roster.at(*number).is_some_and(|s| s.name == *name)));
+        let sorted = |members: &[u32]| {
+            let mut names: Vec<Name> =
+                members.iter().filter_map(|k| roster.at(*k)).map(|s| s.name.clone()).collect();
+            names.sort();
+            names
+        };
+        let of = |so: &dyn Fn(&(u32, u32)) -> bool| -> Vec<Name> {
+            model.iter().filter(|(_, at)| so(at)).map(|(name, _)| name.clone()).collect()
+        };
+        prop_assert_eq!(sorted(roster.of(None)), of(&|_| true));
+        for k in 0..4 {
+            prop_assert_eq!(sorted(roster.of(Some((Group::Zone, k, 9)))), of(&|at| at.0 == k));
+            prop_assert_eq!(sorted(roster.of(Some((Group::Cell, 9, k)))), of(&|at| at.1 == k));
+        }
+    }
+}
