Late connections under tests for each thing that can happen meanwhile

Need: of connections that come up late only a drain and a window that ends were forced.

Change: a test has the worker restart, move, be left out of a whole list, and the client leave while a connection comes up; nothing is written to it for that request.

--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -3,6 +3,7 @@
 
 mod in_flight;
 mod outside;
+mod parties;
 mod record;
 mod zones;
 
@@ -14,8 +15,9 @@
 use crate::usage::{Usage, What};
 use crate::workers::{self, Conn, Ear, Place, Refusal, Workers};
 use frostvale::*;
-use frostvale_outside::{Breaker, Consult, Counts, Verdict};
+use frostvale_outside::{Consult, Verdict};
 use in_flight::{Attempt, Clock, InFlight};
+pub use parties::{Agents, Asker, Caller};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -29,32 +31,6 @@
 /// The one owner of all state; every task borrows it for the length of one call.
 pub type Shared = Rc<RefCell<Gateway>>;
 
-/// Who is owed the answer to a request.
-pub trait Caller {
-    /// Gives the final answer, once.
-    fn answer(&self, id: u64, bytes: &[u8]);
-    /// Whether it has gone, though nobody has said so yet.
-    fn has_left(&self) -> bool;
-}
-
-/// Who asked for a check.
-pub trait Asker {
-    /// What came of it, once. `tag` is the asker's own; `remaining` is infinite where nothing holds it.
-    fn verdict(&self, tag: u64, granted: bool, remaining: f64, reset: f64);
-}
-
-/// The agents that are linked, as far as requests need them.
-pub trait Agents {
-    /// A request of this customer came, with its set of gatekeepers.
-    fn seen(&self, customer: &Name, first: u32, spread: u32);
-    /// Whether one is here that asks an outside service.
-    fn linked(&self) -> bool;
-    /// Has it asked. False if it can't be.
-    fn ask_outside(&self, call: u64, request: &Request, within: f64) -> bool;
-    /// The breaker has changed.
-    fn breaker(&self, state: Breaker, counts: Counts);
-}
-
 /// What answers and ends of connections to workers call back.
 struct Heard(Weak<RefCell<Gateway>>);
 
--- a/tests/node/clients.rs
+++ b/tests/node/clients.rs
@@ -144,6 +144,19 @@
     assert!(told.is_some_and(|ms| ms < 7700), "{fields}");
 }
 
+/// Both happen while the process stands still, in this order or the other, so that it hears of them in one turn.
+fn in_one_turn(node: &Node, in_order: bool, first: impl FnOnce(), second: impl FnOnce()) {
+    node.freeze();
+    if in_order {
+        first();
+        second();
+    } else {
+        second();
+        first();
+    }
+    node.thaw();
+}
+
 /// An attempt fails and its client leaves in one turn of the process, in either order: no further attempt is begun, though a
 /// connection is there to write it to.
 #[test]
@@ -155,17 +168,11 @@
         client.say(ask(30_000));
         let (mut out, mut other) = spoken_to(at_a, at_b);
         out.command();
-        node.freeze();
-        if round < 4 {
-            out.say("-ERR failed\r\n");
-            out.arrived();
-            node.left_by(client, leave);
-        } else {
-            node.left_by(client, leave);
+        let fails = || {
             out.say("-ERR failed\r\n");
             out.arrived();
-        }
-        node.thaw();
+        };
+        in_one_turn(&node, round < 4, fails, || node.left_by(client, leave));
         node.settled();
         assert!(!other.speaks() && a.nobody() && b.nobody(), "round {round}: nothing more is begun");
     }
@@ -196,17 +203,11 @@
         out.command();
         node.settled();
         assert!(!other.speaks(), "its line is full");
-        node.freeze();
-        if round < 8 {
-            out.serve("served");
-            out.arrived();
-            node.left_by(client, leave);
-        } else {
-            node.left_by(client, leave);
+        let serves = || {
             out.serve("served");
             out.arrived();
-        }
-        node.thaw();
+        };
+        in_one_turn(&node, round < 8, serves, || node.left_by(client, leave));
         node.settled();
         let nothing = !other.speaks() && !out.speaks() && worker.nobody();
         assert!(nothing, "round {round}: nothing more is begun");
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -24,16 +24,6 @@
     node.at = node.says(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
 }
 
-/// A request goes to this worker.
-fn goes_to(node: &Node, worker: &Door) {
-    let mut client = node.client();
-    client.say(ask(5000));
-    let mut line = worker.next();
-    line.command();
-    line.serve("here");
-    assert_eq!(client.answer(), "here");
-}
-
 /// The watch falls silent and the two calls after it hang, one before and one after the connection is taken: the next one
 /// still brings the list in time.
 #[test]
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -224,25 +224,53 @@
     }
 }
 
-/// Waits until this holds of what the kernel's table has of a connection, seen from its first end: its words, or nothing.
-fn kernel_says(ends: (SocketAddr, SocketAddr), holds: impl Fn(Option<&[String]>) -> bool) {
-    let word = |at: SocketAddr| match at {
+/// An address as the kernel's table writes it.
+fn as_listed(at: SocketAddr) -> String {
+    match at {
         SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
         SocketAddr::V6(_) => panic!("only IPv4 here"),
-    };
-    let ends = [word(ends.0), word(ends.1)];
+    }
+}
+
+/// Waits until this holds of the kernel's table of connections, each line as its words.
+fn table_says(holds: impl Fn(&[Vec<String>]) -> bool) {
     let begun = Instant::now();
     loop {
         let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table");
-        let words = |line: &str| line.split_ascii_whitespace().map(str::to_string).collect::<Vec<_>>();
-        let line = table.lines().map(words).find(|words| words.get(1..3) == Some(&ends[..]));
-        if holds(line.as_deref()) {
+        let words = |line: &str| line.split_ascii_whitespace().map(str::to_string).collect();
+        let lines: Vec<Vec<String>> = table.lines().map(words).collect();
+        if holds(&lines) {
             return;
         }
-        assert!(begun.elapsed() < LONG, "{ends:?}: {line:?}");
+        assert!(begun.elapsed() < LONG, "{table}");
     }
 }
 
+/// Waits until this holds of what the kernel's table has of a connection, seen from its first end: its words, or nothing.
+fn kernel_says(ends: (SocketAddr, SocketAddr), holds: impl Fn(Option<&[String]>) -> bool) {
+    let ends = [as_listed(ends.0), as_listed(ends.1)];
+    table_says(|lines| {
+        let line = lines.iter().find(|words| words.get(1..3) == Some(&ends[..]));
+        holds(line.map(Vec::as_slice))
+    });
+}
+
+/// Returns once somebody is connecting to this address and has no answer.
+pub fn connecting(to: SocketAddr) {
+    let to = as_listed(to);
+    table_says(|lines| lines.iter().any(|line| line.get(2) == Some(&to) && line[3] == "02"));
+}
+
+/// A listener whose queue is full: further connections stay pending until what fills it has been accepted.
+pub fn full_listener() -> (TcpListener, SocketAddr, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
+    let late: TcpListener = socket.into();
+    let at = late.local_addr().expect("bound");
+    (late, at, TcpStream::connect(at).expect("takes the only place"))
+}
+
 pub fn words(parts: &[&str]) -> Vec<u8> {
     let mut out = format!("*{}\r\n", parts.len());
     parts.iter().for_each(|p| out.push_str(&format!("${}\r\n{p}\r\n", p.len())));
@@ -509,6 +537,16 @@
     (a, b, discovery, node)
 }
 
+/// A request goes to this worker.
+pub fn goes_to(node: &Node, worker: &Door) {
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("here");
+    assert_eq!(client.answer(), "here");
+}
+
 /// Has each of two workers hold a connection at rest, and gives these.
 pub fn rested(a: &Door, b: &Door, node: &Node) -> (Line, Line) {
     let (mut at_a, mut at_b, mut clients) = (Vec::new(), Vec::new(), Vec::new());
--- a/tests/node/settings.rs
+++ b/tests/node/settings.rs
@@ -69,12 +69,7 @@
     node.reload(&changed(&setup, &[("Classes/0/Target", json!(-5))]));
     let line = node.says("the configuration in use stays");
     assert!(line.contains("Classes[0].Target is -5"), "{line}");
-    let mut client = node.client();
-    client.say(ask(5000));
-    let mut line = worker.next();
-    line.command();
-    line.serve("here");
-    assert_eq!(client.answer(), "here");
+    goes_to(&node, &worker);
 }
 
 /// What the settings leave out, or have at the end of its range, neither stops the process nor leaves a request without its
--- a/tests/node/workers.rs
+++ b/tests/node/workers.rs
@@ -52,7 +52,7 @@
     client.say(long_ask(8000, 60_000));
     let (stream, _) = worker.accept().expect("a connection");
     node.settled();
-    drop(client);
+    node.left_by(client, drop);
     node.settled();
     let (all, _) = all_of(stream);
     assert!(all.len() < 60_000, "{} bytes", all.len());
@@ -77,13 +77,7 @@
 /// A repeat of a keyed request whose connection comes up only after the window in which repeats are dropped is not sent.
 #[test]
 fn a_keyed_repeat_on_a_connection_that_comes_up_late_is_not_sent() {
-    // A listener whose line is full: further connections stay pending until it accepts.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
-    let late: TcpListener = socket.into();
-    let at = late.local_addr().expect("bound");
-    let filler = TcpStream::connect(at).expect("takes the only place");
+    let (late, at, filler) = full_listener();
     let first = Door::open();
     let both = [target("s-1", first.at, "ready", 0), target("s-2", at, "ready", 0)];
     let discovery = Discovery::with(list(1, true, &both[..1]));
@@ -201,3 +195,55 @@
         assert!(!other.speaks() && a.nobody() && b.nobody(), "{class}");
     }
 }
+
+/// While a connection comes up the worker restarts, moves to another address or is left out of a whole list, or the client
+/// leaves: nothing is written to it for that request.
+#[test]
+fn a_connection_that_comes_up_late_carries_nothing_that_is_no_longer_wanted() {
+    for event in ["restarts", "moves", "is left out", "loses its client"] {
+        let (late, at, filler) = full_listener();
+        let other = Door::open();
+        let discovery = Discovery::with(list(1, true, &[target("s-1", at, "ready", 0)]));
+        let node = Setup::new(discovery.at).start();
+        let watch = discovery.watch();
+        let mut client = Some(node.client());
+        client.as_mut().expect("it is there").say(ask(30_000));
+        connecting(at);
+        let after = match event {
+            "restarts" => Some(target("s-1", at, "ready", 1_700_000_000_000)),
+            "moves" => Some(target("s-1", other.at, "ready", 0)),
+            "is left out" => Some(target("s-2", other.at, "ready", 0)),
+            _ => None,
+        };
+        match after {
+            Some(after) => {
+                let after = list(2, true, &[after]);
+                discovery.tell(watch, &after, &after);
+            }
+            None => {
+                node.left_by(client.take().expect("it is there"), drop);
+                node.settled();
+            }
+        }
+        drop(late.accept().expect("what filled it"));
+        let mut line = Line::of(late.accept().expect("it comes up").0);
+        node.settled();
+        if let Some(mut client) = client {
+            assert!(line.ended(), "{event}: nothing is written to it, and it is closed");
+            if event == "is left out" {
+                let mut first = other.next();
+                first.command();
+                first.serve("elsewhere");
+                assert_eq!(client.answer(), "elsewhere");
+            } else {
+                assert!(client.answer().starts_with("-BUSY"), "{event}");
+            }
+        } else {
+            thread::sleep(RESTED);
+            let mut next = node.client();
+            next.say(ask_as(ID, 30_000));
+            assert_eq!(line.command()[2], ID, "the first that comes on it is the next one's");
+        }
+        drop(filler);
+    }
+}
