--- a/crates/agent/tests/rig/mod.rs
+++ b/crates/agent/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test uses a part of it")]
 
+pub mod turn;
+
 use super::kept::plans;
 use frostvale_agent::serve::control;
 use frostvale_proto::agent::{CouncilRequest, DutiesRequest, Duty};
@@ -36,6 +38,7 @@
 }
 
 pub async fn fleet(plan: Plan) -> Fleet {
+    turn::take(plan.agents);
     Fleet::start(plan).await.expect("started")
 }
 
--- a/crates/agent/tests/zones.rs
+++ b/crates/agent/tests/zones.rs
@@ -54,6 +54,7 @@
 }
 
 async fn fleet(plan: Plan) -> Fleet {
+    rig::turn::take(plan.agents);
     Fleet::start(plan).await.expect("started")
 }
 
