--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod discovery;
+mod garbled;
 mod rig;
 mod settings;
 mod shutdown;
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -55,6 +55,26 @@
         }
     }
 
+    /// Serves all that comes from now on with this value, and counts it.
+    pub fn serves_all(self, value: &'static str) -> Arc<AtomicU64> {
+        let served = Arc::new(AtomicU64::new(0));
+        let count = served.clone();
+        thread::spawn(move || {
+            while let Ok(stream) = self.came.recv() {
+                let count = count.clone();
+                thread::spawn(move || {
+                    let mut line = Line::of(stream);
+                    while line.read.get_mut().peek(&mut [0; 1]).is_ok_and(|n| n > 0) {
+                        line.command();
+                        count.fetch_add(1, Ordering::SeqCst);
+                        line.serve(value);
+                    }
+                });
+            }
+        });
+        served
+    }
+
     pub fn nobody(&self) -> bool {
         self.came.try_recv().is_err()
     }
--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -3,8 +3,7 @@
 use crate::rig::*;
 use std::io::Read;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -48,21 +47,7 @@
 #[test]
 fn a_client_that_never_stops_sending_is_ended_in_order() {
     let (worker, _discovery, mut node) = one_worker();
-    let served = Arc::new(AtomicU64::new(0));
-    let count = served.clone();
-    thread::spawn(move || {
-        while let Ok(stream) = worker.came.recv() {
-            let count = count.clone();
-            thread::spawn(move || {
-                let mut line = Line::of(stream);
-                while line.read.get_mut().peek(&mut [0; 1]).is_ok_and(|n| n > 0) {
-                    line.command();
-                    count.fetch_add(1, Ordering::SeqCst);
-                    line.serve("value");
-                }
-            });
-        }
-    });
+    let served = worker.serves_all("value");
     let mut client = node.client();
     client.say(ask(8000));
     let begun = Instant::now();
