--- a/src/conf.rs
+++ b/src/conf.rs
@@ -136,10 +136,10 @@
     }
 }
 
-/// The longest time that is taken, in milliseconds: a day.
-const TIME_MOST: f64 = 86_400_000.0;
+/// The longest time that is taken, in milliseconds: thirty years, so that "never" may be written as one.
+const TIME_MOST: f64 = 1e12;
 /// The most units, worth and factors that are taken.
-const FIGURE_MOST: f64 = 1e9;
+const FIGURE_MOST: f64 = 1e12;
 /// The least of what can't be nothing.
 const LEAST: f64 = 0.001;
 /// The most gateways that are taken.
@@ -153,7 +153,7 @@
     Err(SettingsError(format!("{field} is {figure}, and has to be from {least} to {most}")))
 }
 
-/// Whether each of some names is there and stands once.
+/// Whether each of some names stands once.
 fn named<'a>(what: &str, names: impl Iterator<Item = &'a str>) -> Result<(), SettingsError> {
     let mut seen = BTreeSet::new();
     for (k, name) in names.enumerate() {
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -610,6 +610,17 @@
     assert!(line.ended());
 }
 
+/// A client with a request in flight, and its end at the worker.
+pub fn hold(node: &Node, worker: &Door) -> (Line, Line) {
+    let mut client = node.client();
+    client.say(ask(30_000));
+    let Some(mut line) = worker.within(&mut client, LONG) else {
+        panic!("answered {:?}; {:?}", client.answer(), node.log.lock());
+    };
+    line.command();
+    (client, line)
+}
+
 /// A gatekeeper with one worker, of which discovery has told.
 pub fn one_worker() -> (Door, Discovery, Node) {
     let worker = Door::open();
