Logs and counts: late turns of the loop, lists and their steps, late answers, why refused

Change: the event loop is watched (a late turn is logged with the process's own work and its wait for a core, from schedstat); each whole list is logged with version, bytes, changes and its step; an answer past its client's time is logged with the client's id, attempts and lateness; at debug level each request's attempts, refusals with their reason (Action::Refuse carries a RefusalReason) and answer. Counts of all of it each minute where they changed, and at the end.

--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -495,7 +495,7 @@
     fn act(&mut self, k: u32, action: Action) {
         match action {
             Action::Send { id, server, not_past, .. } => self.send(k, id, &server, not_past),
-            Action::Refuse { id, pause } => self.answer(k, id, Final::Refused, pause),
+            Action::Refuse { id, pause, .. } => self.answer(k, id, Final::Refused, pause),
             Action::Fail { id } => self.answer(k, id, Final::Failed, 0.0),
             Action::Cancel { id, attempt } => {
                 if self.attempt_out(id, attempt).is_some() {
--- a/crates/sim/tests/oracles.rs
+++ b/crates/sim/tests/oracles.rs
@@ -1,6 +1,6 @@
 //! The oracles see each rule broken by a mind that breaks it, and a failing scenario shrinks.
 
-use frostvale::{Action, Control, Event, Health, Outcome, Request, Settings};
+use frostvale::{Action, Control, Event, Health, Outcome, RefusalReason, Request, Settings};
 use frostvale_sim::scenario::{Fault, Kind, Repeat};
 use frostvale_sim::shrink::shrink;
 use frostvale_sim::{Mind, Report, Scenario, real, run};
@@ -105,7 +105,13 @@
     scenario.classes[1].repeat = Repeat::Once;
     scenario.classes[1].window_ms = 0.0;
     let kindly = |all: Vec<Action>| {
-        let kind = |a| if let Action::Fail { id } = a { Action::Refuse { id, pause: 0.0 } } else { a };
+        let kind = |a| {
+            if let Action::Fail { id } = a {
+                Action::Refuse { id, pause: 0.0, reason: RefusalReason::NoServer }
+            } else {
+                a
+            }
+        };
         all.into_iter().map(kind).collect()
     };
     assert_eq!(rule(&broken(&scenario, |_| {}, || pass, || kindly)), "twice");
@@ -146,7 +152,7 @@
                 }]
             }
             Event::Request(Request { id, .. }) | Event::Outcome(Outcome { id, last: false, .. }) => {
-                vec![Action::Refuse { id, pause: 0.0 }]
+                vec![Action::Refuse { id, pause: 0.0, reason: RefusalReason::NoServer }]
             }
             _ => Vec::new(),
         }
--- a/src/api.rs
+++ b/src/api.rs
@@ -355,6 +355,29 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// This gateway is fenced off, or the class or plan has no tier.
+    FencedOff,
+    /// The customer's hard ceiling has no room.
+    Ceiling,
+    /// The customer's quota has no room.
+    Quota,
+    /// The owner of the customer's quota did not answer in time.
+    OwnerSilent,
+    /// All of the customer's concurrency permits are taken.
+    NoPermit,
+    /// The zones' decision sends this class elsewhere.
+    ZoneNarrowed,
+    /// The throttle: servers accept too little of what they are sent.
+    Overload,
+    /// No server is listed, has room, or is well.
+    NoServer,
+    /// Attempts failed, and no further one is allowed or of use.
+    AttemptsFailed,
+}
+
 /// What a gateway does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -375,6 +398,8 @@
         id: u64,
         /// How long the client should keep away; 0 gives no advice.
         pause: f64,
+        /// Why, for logs and metrics.
+        reason: RefusalReason,
     },
     /// What came of a check.
     Verdict {
--- a/src/bin/frostvale-drill/wire.rs
+++ b/src/bin/frostvale-drill/wire.rs
@@ -332,7 +332,9 @@
         Action::Send { id, server, not_past, .. } => {
             Reply::Deliver { gatekeeper_id: who, request_id: *id, worker: server, not_past: *not_past }
         }
-        Action::Refuse { id, pause } => Reply::Busy { gatekeeper_id: who, request_id: *id, pause: *pause },
+        Action::Refuse { id, pause, .. } => {
+            Reply::Busy { gatekeeper_id: who, request_id: *id, pause: *pause }
+        }
         Action::Fail { id } => Reply::Lose { gatekeeper_id: who, request_id: *id },
         Action::Cancel { id, attempt } => {
             Reply::Recall { gatekeeper_id: who, request_id: *id, trial: *attempt }
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -7,6 +7,7 @@
 use crate::backoff::Backoff;
 use crate::gateway::Shared;
 use crate::listing::listed;
+use crate::metrics::ListApplied;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -111,6 +112,7 @@
                     open.remove(1).1.abort();
                 }
                 last += 1;
+                tracing::debug!(call = last, open = open.len(), "discovery is called");
                 let task = sessions.spawn_local(session(last, gateway.clone(), address, heard.clone()));
                 open.push((last, task));
                 due = Instant::now() + CALL;
@@ -189,10 +191,19 @@
 
 /// Takes one list, or what has changed in it, into effect. Gives its version.
 fn take(gateway: &Shared, text: &[u8]) -> Result<u64, String> {
-    let value = serde_json::from_slice(text).map_err(|e| format!("a line is no JSON: {e}"))?;
-    let list = listed(&value).ok_or("a line is no list")?;
-    let rev = list.rev;
+    let began = std::time::Instant::now();
+    let refused = |what: String| {
+        gateway.borrow_mut().metrics.list_refused();
+        what
+    };
+    let value = serde_json::from_slice(text).map_err(|e| refused(format!("a line is no JSON: {e}")))?;
+    let list = listed(&value).ok_or_else(|| refused("a line is no list".into()))?;
+    let (rev, whole, changed) = (list.rev, list.all, list.targets.len());
     gateway.borrow_mut().listed(list);
+    let longest_step = began.elapsed();
+    let applied = ListApplied { whole, changed, refused_lines: 0, longest_step };
+    applied.log(rev, text.len());
+    gateway.borrow_mut().metrics.list_applied(&applied);
     Ok(rev)
 }
 
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -5,11 +5,13 @@
 mod outside;
 mod parties;
 mod record;
+mod trace;
 mod zones;
 
 use crate::ask::Ask;
 use crate::config::Config;
 use crate::listing::{Listed, Target};
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::resp::{self, Reply};
 use crate::usage::{Usage, What};
@@ -107,6 +109,8 @@
     spoilt: Option<(u32, String)>,
     /// Words of notes to all that meant nothing here, as of the last sweep.
     dropped: u64,
+    /// Counts of what is rare, for the log.
+    pub metrics: Metrics,
 }
 
 impl Gateway {
@@ -142,6 +146,7 @@
                 scratch: Vec::new(),
                 spoilt: None,
                 dropped: 0,
+                metrics: Metrics::default(),
             })
         });
         gateway.borrow_mut().sweep();
@@ -246,8 +251,18 @@
             agents.seen(&ask.customer, ask.first, ask.spread);
         }
         let (client, pending) = (Some(client), None);
-        self.requests
-            .insert(id, InFlight { ask, client, pending, attempts: 0, attempt: None, passed: false });
+        self.requests.insert(
+            id,
+            InFlight {
+                ask,
+                client,
+                pending,
+                due: give_up + MARGIN_MS,
+                attempts: 0,
+                attempt: None,
+                passed: false,
+            },
+        );
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
         if self.outside.as_ref().is_some_and(|o| o.wants(request.plan)) {
             return self.consult(request);
@@ -315,6 +330,7 @@
             Reply::Served { value, report } => {
                 if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
                     client.answer(id, &bytes[value]);
+                    self.trace_answer(id, b"served");
                     self.count(id, What::Served);
                 }
                 self.end(id, Ending::Ok, report.and_then(|at| workers::report(&bytes[at])));
@@ -363,7 +379,10 @@
             Action::Send { id, server, not_past, begin_by } => {
                 self.send(id, server, (not_past, begin_by), now);
             }
-            Action::Refuse { id, pause } => self.refuse(id, pause),
+            Action::Refuse { id, pause, reason } => {
+                self.trace_refusal(id, reason);
+                self.refuse(id, pause);
+            }
             Action::Verdict { id, granted, remaining, reset } => {
                 if let Some((tag, asker)) = self.checks.remove(&id) {
                     asker.verdict(tag, granted, remaining, reset);
@@ -409,6 +428,7 @@
     fn answer(&mut self, id: u64, line: &[u8]) {
         if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
             client.answer(id, line);
+            self.trace_answer(id, line);
         }
         self.tidy(id);
     }
@@ -564,6 +584,7 @@
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = r.attempt.take() else { return };
+        trace::attempt_ended(r.ask.wire, &attempt, ending, now);
         let outcome = Outcome {
             id,
             attempt: attempt.number,
@@ -648,11 +669,12 @@
                 Due::Timer(token) => self.event(Event::Timer { token }),
                 Due::Attempt(id, _) => self.give_up(id, Ending::Timeout),
                 Due::Answer(id) => {
-                    tracing::warn!("a request was not settled in time");
+                    self.trace_unsettled(id);
                     if let Some(r) = self.requests.get_mut(&id) {
                         r.pending = None;
                         if let Some(client) = r.client.take() {
                             client.answer(id, b"-ERR failed\r\n");
+                            self.trace_answer(id, b"-ERR failed");
                         }
                     }
                     self.event(Event::Left { id });
--- a/src/bin/frostvale/gateway/in_flight.rs
+++ b/src/bin/frostvale/gateway/in_flight.rs
@@ -36,6 +36,8 @@
     pub(super) client: Option<Rc<dyn Caller>>,
     /// The module has not heard of it yet: an outside service is asked first.
     pub(super) pending: Option<Request>,
+    /// When the client's time is over, in ms of the clock.
+    pub(super) due: f64,
     pub(super) attempts: u32,
     pub(super) attempt: Option<Attempt>,
     /// Whether an attempt has come whole to a worker: from then on its units are used.
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -9,11 +9,13 @@
 mod clients;
 mod config;
 mod discovery;
+mod event_loop;
 mod extra;
 mod fences;
 mod gateway;
 mod link;
 mod listing;
+mod metrics;
 mod peers;
 mod resp;
 mod shutdown;
@@ -26,8 +28,9 @@
 use config::Config;
 use extra::Extra;
 use frostvale_outside::Consult;
-use gateway::Gateway;
+use gateway::{Gateway, Shared};
 use link::Links;
+use metrics::Metrics;
 use peers::Peers;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -41,6 +44,8 @@
 
 /// How long discovery may be silent at the start before the known list has to do.
 const FIRST_LIST: Duration = Duration::from_secs(1);
+/// How often the counts are logged, where they have changed.
+const METRICS_PERIOD: Duration = Duration::from_secs(60);
 /// How often lines that were merged are told of.
 const LOG_TURN: Duration = Duration::from_secs(1);
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
@@ -148,6 +153,8 @@
     }
     spawn_local(Gateway::keep_time(gateway.clone()));
     spawn_local(clients.clone().keep_time());
+    spawn_local(event_loop::watch(gateway.clone()));
+    spawn_local(log_metrics(gateway.clone()));
     spawn_local(async {
         loop {
             sleep(LOG_TURN).await;
@@ -219,6 +226,20 @@
     if let Some(links) = &links {
         links.last_word().await;
     }
+    gateway.borrow().metrics.log();
     frostvale_log::end();
     Ok(())
 }
+
+/// Logs the counts now and then, where they have changed.
+async fn log_metrics(gateway: Shared) {
+    let mut logged = Metrics::default();
+    loop {
+        sleep(METRICS_PERIOD).await;
+        let metrics = gateway.borrow().metrics.clone();
+        if metrics != logged {
+            metrics.log();
+            logged = metrics;
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -259,7 +259,9 @@
     fn on_request(&mut self, request: Request, check: bool) {
         let (now, me, all) = (self.now, self.cfg.me, self.cfg.gateways);
         let tier = self.tier_of.get(request.class).and_then(|row| row.get(request.plan)).copied();
-        let Some(tier) = tier.filter(|_| !self.outs.away(now)) else { return self.refuse(&request, check) };
+        let Some(tier) = tier.filter(|_| !self.outs.away(now)) else {
+            return self.refuse(&request, check, RefusalReason::FencedOff);
+        };
         if !check {
             self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
         }
@@ -278,7 +280,7 @@
         c.ceiling.fill(deal.slice(&plan, n), ms);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
         if deal.sliced(&plan) && !c.ceiling.holds(units) {
-            return self.refuse(&request, check);
+            return self.refuse(&request, check, RefusalReason::Ceiling);
         }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted) = (c.told.at, c.told.demand, c.told.granted);
@@ -302,7 +304,7 @@
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
         if (keeper != me || check) && !ample && c.credit < 1.0 {
-            return self.refuse(&request, check);
+            return self.refuse(&request, check, RefusalReason::Quota);
         }
         c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
         c.untold += weight;
@@ -328,7 +330,7 @@
         if keeper == me {
             return match self.asked(key, name, ask, if check { weight } else { units }).0 {
                 Word::Grant => self.admit(job),
-                Word::Deny => self.refuse(&job.request, check),
+                Word::Deny => self.refuse(&job.request, check, RefusalReason::Quota),
                 Word::Wait => self.wait(job),
             };
         }
@@ -362,14 +364,14 @@
 
     /// Refuses. Where the store, as far as it is known here, won't hold the units before the aim, it
     /// says when it will; for less a client's own wait serves better than ours.
-    fn refuse(&mut self, request: &Request, check: bool) {
+    fn refuse(&mut self, request: &Request, check: bool, reason: RefusalReason) {
         if check {
             return self.verdict(request, false);
         }
         let aim = self.cfg.classes.get(request.class).map_or(0.0, |c| c.aim);
         let pause = self.customers.get(&key_of(&request.customer)).map(|c| self.room_in(c, request));
         let pause = pause.filter(|ms| *ms > aim).map_or(0.0, f64::ceil).max(self.outs.pause(self.now));
-        self.actions.push(Action::Refuse { id: request.id, pause });
+        self.actions.push(Action::Refuse { id: request.id, pause, reason });
     }
 
     /// How long until the store, as far as it is known here, holds a request's units.
@@ -467,7 +469,8 @@
         if w.queued && self.customers.get(&w.key).is_some_and(|c| c.slots < u32::MAX) {
             self.spare(w.key, w.keeper, w.request.units, w.place);
         }
-        self.refuse(&w.request, w.check);
+        let reason = if w.queued { RefusalReason::NoPermit } else { RefusalReason::OwnerSilent };
+        self.refuse(&w.request, w.check, reason);
     }
 
     /// A request with room in its quota: a place of this gateway's own, the throttle, then a server.
@@ -485,7 +488,7 @@
                 return self.wait(job);
             }
             self.spare(job.key, job.keeper, job.request.units, job.place);
-            return self.refuse(&job.request, false);
+            return self.refuse(&job.request, false, RefusalReason::NoPermit);
         }
         let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
         // Asked again here: others of its customer may have been sent on while it waited.
@@ -494,8 +497,14 @@
         let most = self.room * self.cfg.classes[job.request.class].aim;
         let alone = self.fleet.class_pace[job.request.class];
         let away = self.zones.wants(self.now, (job.tier, job.request.class), alone, &mut self.rng);
-        let passes = !above && !away && !self.throttled(job.tier);
-        let chosen = if passes {
+        let barred = if above {
+            Some(RefusalReason::Ceiling)
+        } else if away {
+            Some(RefusalReason::ZoneNarrowed)
+        } else {
+            self.throttled(job.tier).then_some(RefusalReason::Overload)
+        };
+        let chosen = if barred.is_none() {
             self.choose(Want { class: job.request.class, most, group: None, avoid: None })
         } else {
             None
@@ -508,7 +517,7 @@
             if job.place.is_some() || job.queued {
                 self.spare(job.key, job.keeper, units, job.place);
             }
-            return self.refuse(&job.request, false);
+            return self.refuse(&job.request, false, barred.unwrap_or(RefusalReason::NoServer));
         };
         if let Some(c) = self.customers.get_mut(&job.key) {
             c.ceiling.take(if covered { 0.0 } else { units });
@@ -643,7 +652,7 @@
                 self.spare(key, keeper, units - w.request.units, None);
                 self.admit(Job { place: Some(number), ..w });
             }
-            (Some(w), Word::Deny) => self.refuse(&w.request, w.check),
+            (Some(w), Word::Deny) => self.refuse(&w.request, w.check, RefusalReason::Quota),
             (Some(mut w), Word::Wait) => {
                 let most = WAIT * self.cfg.classes[w.request.class].aim;
                 w.until = w.arrived + most.min((w.request.give_up - w.arrived) / 2.0);
@@ -896,7 +905,7 @@
         self.count(tier, o.ending == Ending::Error && in_time);
         let effect = self.cfg.classes[class].effect;
         if h.may_run.is_none() || matches!(effect, Effect::Safe | Effect::Keyed(Group::All)) {
-            self.refuse(&h.job.request, false);
+            self.refuse(&h.job.request, false, RefusalReason::AttemptsFailed);
         } else {
             self.actions.push(Action::Fail { id: o.id });
         }
--- a/tests/outs.rs
+++ b/tests/outs.rs
@@ -44,7 +44,10 @@
     assert!(sent(&gateway.handle(1.0, Event::Request(request(1)))));
     gateway.handle(2.0, shut(true, vec![]));
     let away = gateway.handle(3.0, Event::Request(request(2)));
-    assert!(away.contains(&Action::Refuse { id: 2, pause: 700.0 }), "{away:?}");
+    assert!(
+        away.contains(&Action::Refuse { id: 2, pause: 700.0, reason: RefusalReason::FencedOff }),
+        "{away:?}"
+    );
     let check = gateway.handle(4.0, Event::Check(request(3)));
     assert!(check.iter().any(|a| matches!(a, Action::Verdict { granted: false, .. })), "{check:?}");
     // What was in hand goes on to its end.
