A watch that tells and breaks in one moment is called again at once

Callers saw: discovery was not called for 3 s after a watch had broken right behind a line, so what was told meanwhile came late. Cause: the session's last word and its end become ready in one turn; where the end was taken first, the word put off the next call by the whole silence. Change: a session that has ended does not put off the call after it.

--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -86,6 +86,10 @@
         tokio::select! {
             () = heard.news.notified() => {
                 let Some((speaker, at)) = heard.last.get() else { continue };
+                // One that has ended since does not put off the call after it.
+                if !open.iter().any(|(session, _)| *session == speaker) {
+                    continue;
+                }
                 open.retain(|(session, task)| {
                     if *session != speaker {
                         task.abort();
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -106,6 +106,20 @@
     goes_to(&node, &new);
 }
 
+#[test]
+fn a_watch_that_tells_and_breaks_in_one_moment_is_called_again_at_once() {
+    for round in 0..20 {
+        let worker = Door::open();
+        let now = [target("s-1", worker.at, "ready", 0)];
+        let (discovery, mut node, mut watch) = by_hand(&list(1, true, &now));
+        serving(&mut node);
+        let news = list(2, false, &now);
+        push(watch.read.get_mut(), &format!("{news}\n{{nonsense"));
+        let called = discovery.came.recv_timeout(Duration::from_secs(2));
+        assert!(called.is_ok(), "round {round}: no call within 2 s");
+    }
+}
+
 /// A list in pieces and indented, as a watch and as a whole.
 #[test]
 fn lists_in_pieces_and_indented_are_read() {
