Endpoint lists are decoded by line, compared by index and applied in bounded steps

Cause: a list was read into a tree, compared by a scan of all lines for each server and a scan of all servers for each line, and applied, all in one step of the event loop. Evidence: with 40 gatekeepers on a core the log had 'the event loop was held up; late_ms=1720; running_ms=47; waiting_ms=1859' at the list's own step_us=1720461; 200 servers: none late. Change: the lines of an update are found in one pass, and decoded straight into types and compared with an index 128 at a time, between which the loop does what else is due. Only what differs is kept and takes effect in one go, O(k). Updates take turns; one that is dropped half-way changes nothing. Workers are found by name and by address. A property test holds the index against a look at every worker.

--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -1,8 +1,8 @@
 //! What the gatekeeper is told: GW_CONFIG and the variables that stand beside it.
 
-use crate::listing::{self, Listed};
 use frostvale::{Conf, Settings};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::env;
 use std::net::SocketAddr;
 
@@ -25,7 +25,7 @@
     #[serde(default)]
     peers_all: String,
     #[serde(default)]
-    known: serde_json::Value,
+    known: Option<Box<RawValue>>,
     settings: Conf,
 }
 
@@ -55,8 +55,8 @@
     pub peers: Vec<SocketAddr>,
     /// Reaches every gatekeeper of the tier at once, where there is such an address.
     pub peers_all: Option<SocketAddr>,
-    /// The list of workers as it was last had.
-    pub known: Option<Listed>,
+    /// The endpoint list as it was last had, in discovery's form.
+    pub known: Option<Box<RawValue>>,
     pub conf: Conf,
     pub settings: Settings,
     /// The settings as the file has them, with keys in order.
@@ -118,7 +118,7 @@
             peers_all: (!file.peers_all.is_empty())
                 .then(|| address("peers_all", &file.peers_all))
                 .transpose()?,
-            known: listing::listed(&file.known),
+            known: file.known,
             conf: file.settings,
             settings,
             text: whole["settings"].to_string(),
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -5,9 +5,7 @@
 //! one has spoken.
 
 use crate::backoff::Backoff;
-use crate::gateway::Shared;
-use crate::listing::listed;
-use crate::metrics::ListApplied;
+use crate::gateway::{Shared, apply_update};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -155,13 +153,12 @@
     let mut lines = Lines::default();
     while let Some(frame) = body.frame().await {
         let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
-        lines.take(&data, |line| {
+        for line in lines.take(&data)? {
             if !line.trim_ascii().is_empty() {
-                take(gateway, line)?;
+                take(gateway, &line).await?;
             }
             heard();
-            Ok(())
-        })?;
+        }
     }
     Ok(())
 }
@@ -188,27 +185,14 @@
             return Err("the list is too long".into());
         }
     }
-    let rev = take(gateway, &text)?;
+    let rev = take(gateway, &text).await?;
     call.ready().await.map_err(|e| format!("the list: {e}"))?;
     Ok((call, rev))
 }
 
 /// Takes one list, or what has changed in it, into effect. Gives its version.
-fn take(gateway: &Shared, text: &[u8]) -> Result<u64, String> {
-    let began = std::time::Instant::now();
-    let refused = |what: String| {
-        gateway.borrow_mut().metrics.list_refused();
-        what
-    };
-    let value = serde_json::from_slice(text).map_err(|e| refused(format!("a line is no JSON: {e}")))?;
-    let list = listed(&value).ok_or_else(|| refused("a line is no list".into()))?;
-    let (rev, whole, changed) = (list.rev, list.all, list.targets.len());
-    gateway.borrow_mut().listed(list);
-    let longest_step = began.elapsed();
-    let applied = ListApplied { whole, changed, refused_lines: 0, longest_step };
-    applied.log(rev, text.len());
-    gateway.borrow_mut().metrics.list_applied(&applied);
-    Ok(rev)
+async fn take(gateway: &Shared, text: &[u8]) -> Result<u64, String> {
+    apply_update(gateway, text).await.map_err(|e| e.to_string())
 }
 
 /// Bytes that come in pieces, as lines.
@@ -218,19 +202,19 @@
 }
 
 impl Lines {
-    /// Gives each line that is whole by now to `each`.
-    fn take(&mut self, data: &[u8], mut each: impl FnMut(&[u8]) -> Result<(), String>) -> Result<(), String> {
+    /// Takes in a piece, and gives the lines that are whole by now.
+    fn take(&mut self, data: &[u8]) -> Result<Vec<Vec<u8>>, String> {
+        let mut whole = Vec::new();
         for piece in data.split_inclusive(|b| *b == b'\n') {
             self.text.extend_from_slice(piece);
             if self.text.len() > LIST_MOST {
                 return Err("a line is too long".into());
             }
             if piece.ends_with(b"\n") {
-                each(&self.text)?;
-                self.text.clear();
+                whole.push(std::mem::take(&mut self.text));
             }
         }
-        Ok(())
+        Ok(whole)
     }
 }
 
--- a/src/bin/frostvale/discovery/tests.rs
+++ b/src/bin/frostvale/discovery/tests.rs
@@ -19,11 +19,7 @@
         let mut lines = Lines::default();
         let mut seen = Vec::new();
         for piece in b"{\"a\":1}\n\n{}\nrest".chunks(size) {
-            let taken = lines.take(piece, |line| {
-                seen.push(line.to_vec());
-                Ok(())
-            });
-            taken.expect("within its bound");
+            seen.extend(lines.take(piece).expect("within its bound"));
         }
         assert_eq!(seen, [b"{\"a\":1}\n".to_vec(), b"\n".to_vec(), b"{}\n".to_vec()]);
         assert_eq!(lines.text, b"rest");
--- /dev/null
+++ b/src/bin/frostvale/endpoint_update.rs
@@ -0,0 +1,248 @@
+//! Endpoint updates in discovery's form: the list of all servers, or what changed in it.
+//!
+//! An update is read in two stages, so that a long one does not hold up the event loop: [`Outline::read`] finds the lines in
+//! one pass over the text, and [`EndpointLine::read`] decodes one line at a time, straight into types. Both are linear in the
+//! length of their text. A line that can't be read is passed over and costs no other line.
+
+use frostvale::{Conf, Health};
+use serde::de::{Deserialize, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Why an update as a whole is refused; the list in effect stays.
+#[derive(Debug)]
+pub enum UpdateError {
+    /// It is no JSON, or has no version or no lines.
+    Malformed(serde_json::Error),
+}
+
+impl fmt::Display for UpdateError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            UpdateError::Malformed(error) => write!(f, "not an endpoint list: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for UpdateError {}
+
+/// An update with its lines found and none of them decoded.
+#[derive(serde::Deserialize)]
+pub struct Outline<'a> {
+    /// The version that is in effect once it is applied.
+    #[serde(rename = "rev")]
+    pub version: u64,
+    #[serde(default)]
+    all: Option<bool>,
+    /// Its lines, as they stand in the text.
+    #[serde(borrow, rename = "targets")]
+    pub lines: Vec<&'a RawValue>,
+}
+
+impl Outline<'_> {
+    /// Finds the lines of an update.
+    ///
+    /// # Errors
+    /// When the text is no update.
+    pub fn read(text: &[u8]) -> Result<Outline<'_>, UpdateError> {
+        serde_json::from_slice(text).map_err(UpdateError::Malformed)
+    }
+
+    /// Whether it names all servers there are: one that it does not name is gone.
+    pub fn whole(&self) -> bool {
+        self.all.unwrap_or(false)
+    }
+}
+
+/// What discovery says of one server, but its name.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointState {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone's number in the settings.
+    pub zone: u32,
+    /// Its machine type's number in the settings.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Whether it takes requests.
+    pub health: Health,
+    /// Its registered size.
+    pub size: f64,
+    /// When it last started, in ms of Unix time; 0 for long ago.
+    pub boot_ms: f64,
+}
+
+/// One line of an update.
+#[derive(Debug)]
+pub struct EndpointLine<'a> {
+    /// The server's name.
+    pub uid: Cow<'a, str>,
+    /// What the line says of it.
+    pub state: EndpointState,
+}
+
+impl<'a> EndpointLine<'a> {
+    /// Decodes a line; none where it can't be read.
+    pub fn read(line: &'a RawValue, conf: &Conf) -> Option<EndpointLine<'a>> {
+        let fields: Fields = serde_json::from_str(line.get()).ok()?;
+        let number = |names: &[String], name: Option<Cow<str>>| {
+            let name = name.unwrap_or_default();
+            names.iter().position(|n| *n == name).unwrap_or(names.len()).try_into().unwrap_or(u32::MAX)
+        };
+        let health = match fields.state.text()?.as_ref() {
+            "ready" => Health::Up,
+            "draining" => Health::Draining,
+            "gone" => Health::Gone,
+            _ => return None,
+        };
+        let state = EndpointState {
+            address: fields.endpoint.text()?.parse().ok()?,
+            zone: number(&conf.areas, fields.zone.text()),
+            kind: number(&conf.kinds, fields.model.text()),
+            cell: fields.cell.whole().and_then(|n| u32::try_from(n).ok())?,
+            health,
+            size: fields.size.figure().unwrap_or(1.0),
+            boot_ms: fields.boot_ms.figure().unwrap_or(0.0),
+        };
+        let uid = fields.uid.text().filter(|uid| !uid.is_empty())?;
+        Some(EndpointLine { uid, state })
+    }
+}
+
+/// The fields of a line, whatever stands in them.
+#[derive(Default)]
+struct Fields<'a> {
+    uid: Scalar<'a>,
+    endpoint: Scalar<'a>,
+    zone: Scalar<'a>,
+    model: Scalar<'a>,
+    cell: Scalar<'a>,
+    state: Scalar<'a>,
+    size: Scalar<'a>,
+    boot_ms: Scalar<'a>,
+}
+
+impl<'de> Deserialize<'de> for Fields<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(FieldsVisitor)
+    }
+}
+
+struct FieldsVisitor;
+
+impl<'de> Visitor<'de> for FieldsVisitor {
+    type Value = Fields<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("an endpoint")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Fields<'de>, A::Error> {
+        let mut fields = Fields::default();
+        while let Some(Scalar::Text(key)) = map.next_key()? {
+            let value = map.next_value()?;
+            match key.as_ref() {
+                "uid" => fields.uid = value,
+                "endpoint" => fields.endpoint = value,
+                "az" => fields.zone = value,
+                "model" => fields.model = value,
+                "pod_group" => fields.cell = value,
+                "state" => fields.state = value,
+                "capacity_hint" => fields.size = value,
+                "boot_ms" => fields.boot_ms = value,
+                _ => {}
+            }
+        }
+        Ok(fields)
+    }
+}
+
+/// A value of a field. What is neither text nor number is as if it were not there.
+#[derive(Default)]
+enum Scalar<'a> {
+    Text(Cow<'a, str>),
+    Whole(u64),
+    Number(f64),
+    #[default]
+    None,
+}
+
+impl<'a> Scalar<'a> {
+    fn text(self) -> Option<Cow<'a, str>> {
+        if let Scalar::Text(text) = self { Some(text) } else { None }
+    }
+
+    fn whole(&self) -> Option<u64> {
+        if let Scalar::Whole(number) = self { Some(*number) } else { None }
+    }
+
+    /// A finite number that is not negative.
+    fn figure(&self) -> Option<f64> {
+        let number = match self {
+            Scalar::Whole(number) => *number as f64,
+            Scalar::Number(number) => *number,
+            _ => return None,
+        };
+        (number.is_finite() && number >= 0.0).then_some(number)
+    }
+}
+
+impl<'de> Deserialize<'de> for Scalar<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(ScalarVisitor)
+    }
+}
+
+struct ScalarVisitor;
+
+impl<'de> Visitor<'de> for ScalarVisitor {
+    type Value = Scalar<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("any value")
+    }
+
+    fn visit_borrowed_str<E>(self, text: &'de str) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::Text(Cow::Borrowed(text)))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::Text(Cow::Owned(text.to_string())))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::Whole(number))
+    }
+
+    fn visit_i64<E>(self, number: i64) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::Number(number as f64))
+    }
+
+    fn visit_f64<E>(self, number: f64) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::Number(number))
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::None)
+    }
+
+    fn visit_unit<E>(self) -> Result<Scalar<'de>, E> {
+        Ok(Scalar::None)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Scalar<'de>, A::Error> {
+        while seq.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(Scalar::None)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Scalar<'de>, A::Error> {
+        while map.next_entry::<IgnoredAny, IgnoredAny>()?.is_some() {}
+        Ok(Scalar::None)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -1,6 +1,7 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
 //! attempts and one queue of timers for all of them. It decides nothing: `frostvale::Control` does.
 
+mod endpoints;
 mod in_flight;
 mod outside;
 mod parties;
@@ -10,12 +11,12 @@
 
 use crate::ask::Ask;
 use crate::config::Config;
-use crate::listing::{Listed, Target};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::resp::{self, Reply};
 use crate::usage::{Usage, What};
 use crate::workers::{self, Conn, Ear, Place, Refusal, Workers};
+pub use endpoints::{apply_known, apply_update};
 use frostvale::*;
 use frostvale_outside::{Consult, Verdict};
 use in_flight::{Attempt, Clock, InFlight};
@@ -27,7 +28,7 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep_until, timeout};
 
 /// The one owner of all state; every task borrows it for the length of one call.
@@ -88,6 +89,8 @@
     /// The clients' ids of the requests in hand.
     open: HashSet<u64>,
     workers: Workers,
+    /// Endpoint updates are applied one at a time.
+    update_turns: Rc<Mutex<()>>,
     ear: Rc<dyn Ear>,
     /// Checks that wait for their verdict, with their askers' tags.
     checks: HashMap<u64, (u64, Rc<dyn Asker>)>,
@@ -130,6 +133,7 @@
                 held_most: memory,
                 open: HashSet::new(),
                 workers: Workers::new(connections, memory),
+                update_turns: Rc::default(),
                 ear: Rc::new(Heard(me.clone())),
                 checks: HashMap::new(),
                 agents: None,
@@ -164,50 +168,6 @@
 
     // ---- what happens outside ----
 
-    /// News of the workers.
-    pub fn listed(&mut self, list: Listed) {
-        let (over, replaced) = self.workers.listed(&list);
-        let number = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).unwrap_or(names.len()).try_into().unwrap_or(u32::MAX)
-        };
-        let server = |t: &Target| Server {
-            name: t.uid.as_str().into(),
-            zone: number(&self.conf.areas, &t.zone),
-            cell: t.cell,
-            kind: number(&self.conf.kinds, &t.model),
-            size: t.size,
-            health: t.health,
-            since: t.boot_ms,
-        };
-        let mut servers: Vec<Server> = list.targets.iter().map(server).collect();
-        // Whose address has a new owner is gone, whether or not that has been told.
-        for line in servers.iter_mut().filter(|line| replaced.contains(&line.name)) {
-            line.health = Health::Gone;
-        }
-        let gone = |name: &Name| Server {
-            name: name.clone(),
-            zone: 0,
-            cell: 0,
-            kind: 0,
-            size: 1.0,
-            health: Health::Gone,
-            since: 0.0,
-        };
-        let named = |name: &&Name| !servers.iter().any(|line| line.name == **name);
-        let unnamed: Vec<Server> = replaced.iter().filter(named).map(gone).collect();
-        servers.extend(unnamed);
-        let listing = if list.all { Listing::Complete } else { Listing::Changes };
-        self.event(Event::Servers { listing, servers });
-        // What was out at a worker that has restarted since is never answered, and its connection is
-        // half open if the whole machine went.
-        let lost: Vec<u64> =
-            self.requests.iter().filter(|(_, r)| r.lives_in(&over)).map(|(id, _)| *id).collect();
-        for id in lost {
-            self.give_up(id, Ending::Reset);
-        }
-        self.news.notify_one();
-    }
-
     /// A note from another gatekeeper.
     pub fn note(&mut self, from: u32, text: &str) {
         self.event(Event::Note { from, text: text.into() });
@@ -465,8 +425,8 @@
                 return;
             }
         }
-        let worker = self.workers.get(&server).filter(|w| w.health == Health::Up);
-        let Some((address, life)) = worker.map(|w| (w.address, w.life)) else {
+        let worker = self.workers.get(&server);
+        let Some((address, life)) = worker.and_then(|w| Some((w.open_at()?, w.life))) else {
             return self.end(id, Ending::Unreachable, None);
         };
         let (Some(place), Some(gateway)) = (self.workers.place(), self.me.upgrade()) else {
@@ -516,7 +476,7 @@
 
     /// Whether something new may go out on a connection.
     fn usable(&self, conn: &Conn) -> bool {
-        self.workers.get(&conn.worker).is_some_and(|w| w.health == Health::Up && w.life == conn.life)
+        self.workers.get(&conn.worker).is_some_and(|w| w.open_at().is_some() && w.life == conn.life)
     }
 
     /// Writes the command. False if the connection broke before a byte was taken.
--- /dev/null
+++ b/src/bin/frostvale/gateway/endpoints.rs
@@ -0,0 +1,162 @@
+//! Endpoint updates, applied in bounded steps.
+//!
+//! Lines are decoded and compared with what is known [`STEP_LINES`] at a time; between two steps the event loop does what
+//! else is due. Only what differs is kept, and takes effect in one go: decisions see one whole version. An update of n
+//! lines of which k differ costs O(n) to read and O(k) to apply.
+
+use super::{Gateway, Shared};
+use crate::endpoint_update::{EndpointLine, Outline, UpdateError};
+use crate::metrics::ListApplied;
+use crate::workers::EndpointChange;
+use frostvale::{Ending, Event, Health, Listing, Name, Server};
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::collections::HashSet;
+use std::slice::Iter;
+use std::time::{Duration, Instant};
+use tokio::task::yield_now;
+
+/// Lines that are decoded in one step.
+const STEP_LINES: usize = 128;
+
+/// An update of which nothing is in effect yet.
+struct PendingUpdate<'a> {
+    whole: bool,
+    lines: Iter<'a, &'a RawValue>,
+    named: HashSet<Cow<'a, str>>,
+    changes: Vec<EndpointChange>,
+    refused_lines: usize,
+}
+
+impl<'a> PendingUpdate<'a> {
+    fn new(outline: &'a Outline<'a>) -> Self {
+        PendingUpdate {
+            whole: outline.whole(),
+            lines: outline.lines.iter(),
+            named: HashSet::with_capacity(outline.lines.len()),
+            changes: Vec::new(),
+            refused_lines: 0,
+        }
+    }
+
+    /// Compares the next lines with what is known. False once there are none left.
+    fn step(&mut self, gateway: &Gateway) -> bool {
+        let Some(first) = self.lines.next() else { return false };
+        let step: Vec<&'a RawValue> =
+            std::iter::once(*first).chain(self.lines.by_ref().take(STEP_LINES - 1).copied()).collect();
+        for line in step {
+            let Some(EndpointLine { uid, state }) = EndpointLine::read(line, &gateway.conf) else {
+                self.refused_lines += 1;
+                continue;
+            };
+            let differs = gateway.workers.differs(&uid, &state);
+            let change = || EndpointChange { name: uid.as_ref().into(), state };
+            // Of a server that is named twice the last line holds, also where it says what was known before.
+            if differs || self.named.contains(&uid) {
+                self.changes.push(change());
+            }
+            self.named.insert(uid);
+        }
+        true
+    }
+}
+
+/// Reads and applies an update, and gives its version. Updates take turns: each is compared with what the one before it left.
+/// Dropped half-way it changes nothing.
+///
+/// # Errors
+/// When the text is no update; nothing has changed then.
+pub async fn apply_update(gateway: &Shared, text: &[u8]) -> Result<u64, UpdateError> {
+    let turns = gateway.borrow().update_turns.clone();
+    let _turn = turns.lock().await;
+    let mut longest_step = Duration::ZERO;
+    let mut began = Instant::now();
+    let outline = read_outline(gateway, text)?;
+    let mut update = PendingUpdate::new(&outline);
+    loop {
+        let more = update.step(&gateway.borrow());
+        longest_step = longest_step.max(began.elapsed());
+        if !more {
+            break;
+        }
+        yield_now().await;
+        began = Instant::now();
+    }
+    began = Instant::now();
+    let mut applied = gateway.borrow_mut().apply(update);
+    applied.longest_step = longest_step.max(began.elapsed());
+    gateway.borrow_mut().list_applied(&applied, &outline, text.len());
+    Ok(outline.version)
+}
+
+/// The same in one step, before anybody is served.
+///
+/// # Errors
+/// When the text is no update; nothing has changed then.
+pub fn apply_known(gateway: &Shared, text: &[u8]) -> Result<(), UpdateError> {
+    let outline = read_outline(gateway, text)?;
+    let mut update = PendingUpdate::new(&outline);
+    while update.step(&gateway.borrow()) {}
+    let applied = gateway.borrow_mut().apply(update);
+    applied.log(outline.version, text.len());
+    Ok(())
+}
+
+fn read_outline<'a>(gateway: &Shared, text: &'a [u8]) -> Result<Outline<'a>, UpdateError> {
+    Outline::read(text).inspect_err(|_| gateway.borrow_mut().metrics.list_refused())
+}
+
+impl Gateway {
+    fn list_applied(&mut self, applied: &ListApplied, outline: &Outline, bytes: usize) {
+        applied.log(outline.version, bytes);
+        self.metrics.list_applied(applied);
+        self.news.notify_one();
+    }
+
+    /// Has what differs take effect.
+    fn apply(&mut self, update: PendingUpdate) -> ListApplied {
+        let PendingUpdate { whole, named, changes, refused_lines, .. } = update;
+        let absent = if whole { self.workers.absent_from(&named) } else { Vec::new() };
+        let changed = changes.len() + absent.len();
+        let effect = self.workers.apply(&changes, &absent);
+        let server = |change: &EndpointChange| {
+            let state = &change.state;
+            // Whose address has a new owner is gone, whether or not that has been told.
+            let health = if effect.replaced.contains(&change.name) { Health::Gone } else { state.health };
+            Server {
+                name: change.name.clone(),
+                zone: state.zone,
+                cell: state.cell,
+                kind: state.kind,
+                size: state.size,
+                health,
+                since: state.boot_ms,
+            }
+        };
+        let mut servers: Vec<Server> = changes.iter().map(server).collect();
+        servers.extend(absent.iter().chain(&effect.replaced).map(gone));
+        if !servers.is_empty() {
+            self.event(Event::Servers { listing: Listing::Changes, servers });
+        }
+        self.reset_attempts_at(&effect.restarted);
+        ListApplied { whole, changed, refused_lines, longest_step: Duration::ZERO }
+    }
+
+    /// What was out at a server that has restarted since is never answered, and its connection is half open if the whole
+    /// machine went.
+    fn reset_attempts_at(&mut self, restarted: &HashSet<Name>) {
+        if restarted.is_empty() {
+            return;
+        }
+        let requests = self.requests.iter();
+        let lost: Vec<u64> = requests.filter(|(_, r)| r.lives_in(restarted)).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.give_up(id, Ending::Reset);
+        }
+    }
+}
+
+/// The line of a server that is not listed any more.
+fn gone(name: &Name) -> Server {
+    Server { name: name.clone(), zone: 0, cell: 0, kind: 0, size: 1.0, health: Health::Gone, since: 0.0 }
+}
--- a/src/bin/frostvale/gateway/in_flight.rs
+++ b/src/bin/frostvale/gateway/in_flight.rs
@@ -4,6 +4,7 @@
 use crate::ask::Ask;
 use crate::workers::Conn;
 use frostvale::{Name, Request};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -65,7 +66,7 @@
 
 impl InFlight {
     /// Whether it has an attempt out at one of these workers.
-    pub(super) fn lives_in(&self, workers: &[Name]) -> bool {
+    pub(super) fn lives_in(&self, workers: &HashSet<Name>) -> bool {
         self.attempt.as_ref().is_some_and(|a| a.conn.is_some() && workers.contains(&a.server))
     }
 }
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -9,12 +9,12 @@
 mod clients;
 mod config;
 mod discovery;
+mod endpoint_update;
 mod event_loop;
 mod extra;
 mod fences;
 mod gateway;
 mod link;
-mod listing;
 mod metrics;
 mod peers;
 mod resp;
@@ -142,8 +142,10 @@
         spawn_local(frostvale_link::node::serve(door, links.clone(), agents));
         links
     });
-    if let Some(list) = known {
-        gateway.borrow_mut().listed(list);
+    if let Some(list) = known
+        && let Err(error) = gateway::apply_known(&gateway, list.get().as_bytes())
+    {
+        tracing::warn!("the known endpoints are passed over: {error}");
     }
     let news = Rc::new(Notify::new());
     gateway.borrow_mut().news = news.clone();
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -2,12 +2,13 @@
 //! A connection carries one attempt at a time, so that giving up one can close it.
 
 use crate::budget::{Budget, Share};
-use crate::listing::{Listed, Target};
+use crate::endpoint_update::EndpointState;
 use crate::resp::{self, Reply, VALUE_MOST};
 use frostvale::{Health, Name, Report};
 use socket2::SockRef;
+use std::borrow::Cow;
 use std::cell::{Cell, OnceCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
@@ -40,11 +41,23 @@
     /// Whether the attempt's last byte is written: before that it surely never ran.
     pub written: Cell<bool>,
     pub idle_since: Cell<f64>,
+    /// Its place among the connections at rest, as long as it is one of them.
+    rest_key: Cell<RestKey>,
     task: OnceCell<AbortHandle>,
     reading: Share,
     _place: Place,
 }
 
+/// The order of connections at rest: since when, in microseconds, and a number of its own. Never used twice.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct RestKey(u64, u64);
+
+impl RestKey {
+    fn new(since_ms: f64, number: u64) -> RestKey {
+        RestKey((since_ms * 1000.0).max(0.0) as u64, number)
+    }
+}
+
 /// A descriptor's place: counted from before the connect until the connection is really closed.
 pub struct Place(Rc<Cell<usize>>);
 
@@ -65,6 +78,7 @@
             busy: Cell::new(None),
             written: Cell::new(false),
             idle_since: Cell::new(0.0),
+            rest_key: Cell::default(),
             task: OnceCell::new(),
             reading,
             _place: place,
@@ -157,18 +171,45 @@
 
 /// What the list says of a worker, and the connections to it that wait.
 pub struct Worker {
-    pub address: SocketAddr,
-    pub health: Health,
+    state: EndpointState,
     /// New with each restart, each new address and each return to the list, and never used twice: connections of an
     /// earlier life are of no use.
     pub life: u64,
-    boot_ms: f64,
     idle: Vec<Rc<Conn>>,
 }
 
-/// All workers that the list has named.
+impl Worker {
+    /// Where it listens, if it takes requests.
+    pub fn open_at(&self) -> Option<SocketAddr> {
+        (self.state.health == Health::Up).then_some(self.state.address)
+    }
+}
+
+/// What an update says of one worker.
+pub struct EndpointChange {
+    pub name: Name,
+    pub state: EndpointState,
+}
+
+/// What applying an update has brought beside.
+#[derive(Default)]
+pub struct UpdateEffect {
+    /// Workers whose former life has ended.
+    pub restarted: HashSet<Name>,
+    /// Workers whose address is now that of another one, which started later.
+    pub replaced: HashSet<Name>,
+}
+
+/// All workers that the list has named, by name and by address, and the connections to them.
+///
+/// Finding a worker or its connection, and a change of one worker, cost O(1); room for a connection O(log c) with c of them
+/// at rest.
 pub struct Workers {
     all: HashMap<Name, Worker>,
+    by_address: HashMap<SocketAddr, Vec<Name>>,
+    /// Connections at rest, the one that has rested for the longest first.
+    resting: BTreeMap<RestKey, Rc<Conn>>,
+    rests: u64,
     lives: u64,
     open: Rc<Cell<usize>>,
     most: usize,
@@ -179,7 +220,16 @@
     /// `most` bounds the connections to all of them together, `memory` what has been read on them of answers
     /// that are not whole yet.
     pub fn new(most: usize, memory: usize) -> Workers {
-        Workers { all: HashMap::new(), lives: 0, open: Rc::default(), most, reading: Budget::new(memory) }
+        Workers {
+            all: HashMap::new(),
+            by_address: HashMap::new(),
+            resting: BTreeMap::new(),
+            rests: 0,
+            lives: 0,
+            open: Rc::default(),
+            most,
+            reading: Budget::new(memory),
+        }
     }
 
     /// A new connection's share of the memory.
@@ -191,57 +241,114 @@
         self.all.get(name)
     }
 
-    /// Takes the list's news. Gives the workers whose former life has ended, and those whose address is now
-    /// that of another one, which started later.
-    pub fn listed(&mut self, list: &Listed) -> (Vec<Name>, Vec<Name>) {
-        if list.all {
-            for (name, worker) in &mut self.all {
-                if !list.targets.iter().any(|t| *t.uid == **name) {
-                    worker.health = Health::Gone;
-                }
-            }
+    /// Whether this says anything new of a worker. A start earlier than the one known is nothing new.
+    pub fn differs(&self, name: &str, state: &EndpointState) -> bool {
+        let known = self.all.get(name).map(|worker| &worker.state);
+        known.is_none_or(|known| {
+            *known != EndpointState { boot_ms: state.boot_ms.max(known.boot_ms), ..*state }
+        })
+    }
+
+    /// Workers that are not among these. O(n) of all workers.
+    pub fn absent_from(&self, named: &HashSet<Cow<str>>) -> Vec<Name> {
+        self.all.keys().filter(|name| !named.contains(name.as_ref())).cloned().collect()
+    }
+
+    /// Takes changes into effect, and workers that are not listed any more. O(k) with k of them.
+    pub fn apply(&mut self, changes: &[EndpointChange], absent: &[Name]) -> UpdateEffect {
+        let mut effect = UpdateEffect::default();
+        for name in absent {
+            self.remove(name);
         }
-        let (mut over, mut fresh_ones) = (Vec::new(), Vec::new());
-        for Target { uid, endpoint, health, boot_ms, .. } in &list.targets {
-            self.lives += 1;
-            let life = self.lives;
-            let fresh =
-                || Worker { address: *endpoint, health: *health, life, boot_ms: *boot_ms, idle: Vec::new() };
-            let name: Name = uid.as_str().into();
-            if *health == Health::Up && self.all.get(&name).is_none_or(|w| w.address != *endpoint) {
-                fresh_ones.push(name.clone());
-            }
-            let worker = self.all.entry(name.clone()).or_insert_with(fresh);
-            if worker.address != *endpoint || *boot_ms > worker.boot_ms {
-                worker.life = life;
-                worker.idle.drain(..).for_each(|conn| conn.close());
+        let mut moved_in = Vec::new();
+        for change in changes {
+            if change.state.health == Health::Gone {
+                let known = self.all.get(&change.name);
+                if known.is_some_and(|worker| change.state.boot_ms > worker.state.boot_ms) {
+                    effect.restarted.insert(change.name.clone());
+                }
+                self.remove(&change.name);
+                continue;
             }
-            // At a new address alone the old process may still answer what it has.
-            if *boot_ms > worker.boot_ms {
-                over.push(name);
+            if self.apply_one(change, &mut effect) && change.state.health == Health::Up {
+                moved_in.push(&change.name);
             }
-            (worker.address, worker.health) = (*endpoint, *health);
-            // A list that goes back in time ends no life once more when it comes forward again.
-            worker.boot_ms = worker.boot_ms.max(*boot_ms);
         }
-        let mut replaced = Vec::new();
         // Of two that say nothing of their age the one told last has the address.
-        for fresh in fresh_ones.into_iter().rev() {
-            let owner = self.all.get(&fresh).filter(|w| w.health == Health::Up);
-            let Some((address, boot_ms)) = owner.map(|w| (w.address, w.boot_ms)) else { continue };
-            for (name, worker) in &mut self.all {
-                let other = *name != fresh && worker.health != Health::Gone && worker.address == address;
-                if other && worker.boot_ms <= boot_ms {
-                    worker.health = Health::Gone;
-                    replaced.push(name.clone());
-                }
-            }
+        for name in moved_in.into_iter().rev() {
+            self.replace_others_at_address_of(name, &mut effect);
+        }
+        effect
+    }
+
+    /// Gives whether it is at an address where it was not before.
+    fn apply_one(&mut self, change: &EndpointChange, effect: &mut UpdateEffect) -> bool {
+        let EndpointChange { name, state } = change;
+        self.lives += 1;
+        let life = self.lives;
+        let Some(worker) = self.all.get_mut(name) else {
+            self.all.insert(name.clone(), Worker { state: *state, life, idle: Vec::new() });
+            self.by_address.entry(state.address).or_default().push(name.clone());
+            return true;
+        };
+        let before = worker.state;
+        let (moved, restarted) = (before.address != state.address, state.boot_ms > before.boot_ms);
+        // A list that goes back in time ends no life once more when it comes forward again.
+        worker.state = EndpointState { boot_ms: before.boot_ms.max(state.boot_ms), ..*state };
+        if moved || restarted {
+            worker.life = life;
+        }
+        if moved || restarted || state.health != Health::Up {
+            self.close_resting(name);
+        }
+        // At a new address alone the old process may still answer what it has.
+        if restarted {
+            effect.restarted.insert(name.clone());
         }
-        for worker in self.all.values_mut().filter(|w| w.health != Health::Up) {
-            worker.idle.drain(..).for_each(|conn| conn.close());
+        if moved {
+            self.leave_address(name, before.address);
+            self.by_address.entry(state.address).or_default().push(name.clone());
+        }
+        moved
+    }
+
+    /// A worker that takes requests has its address for itself, but for one that started later.
+    fn replace_others_at_address_of(&mut self, name: &Name, effect: &mut UpdateEffect) {
+        let Some(owner) = self.all.get(name).filter(|w| w.state.health == Health::Up) else { return };
+        let EndpointState { address, boot_ms, .. } = owner.state;
+        let at_address = self.by_address.get(&address).into_iter().flatten();
+        let older = |other: &&Name| {
+            *other != name && self.all.get(*other).is_some_and(|w| w.state.boot_ms <= boot_ms)
+        };
+        let replaced: Vec<Name> = at_address.filter(older).cloned().collect();
+        for name in replaced {
+            self.remove(&name);
+            effect.replaced.insert(name);
+        }
+    }
+
+    fn remove(&mut self, name: &Name) {
+        self.close_resting(name);
+        if let Some(worker) = self.all.remove(name) {
+            self.leave_address(name, worker.state.address);
+        }
+    }
+
+    fn leave_address(&mut self, name: &Name, address: SocketAddr) {
+        let Some(names) = self.by_address.get_mut(&address) else { return };
+        names.retain(|other| other != name);
+        if names.is_empty() {
+            self.by_address.remove(&address);
+        }
+    }
+
+    /// Closes a worker's connections at rest.
+    fn close_resting(&mut self, name: &Name) {
+        let Some(worker) = self.all.get_mut(name) else { return };
+        for conn in worker.idle.drain(..) {
+            self.resting.remove(&conn.rest_key.get());
+            conn.close();
         }
-        self.all.retain(|_, worker| worker.health != Health::Gone);
-        (over, replaced)
     }
 
     /// A pooled connection that is still good and has rested since before this time: of these the one used
@@ -250,6 +357,7 @@
         let idle = &mut self.all.get_mut(name)?.idle;
         while let Some(at) = idle.iter().rposition(|conn| conn.idle_since.get() <= rested) {
             let conn = idle.remove(at);
+            self.resting.remove(&conn.rest_key.get());
             if !conn.stale() {
                 return Some(conn);
             }
@@ -263,7 +371,12 @@
         conn.busy.set(None);
         conn.idle_since.set(now);
         match self.all.get_mut(&conn.worker) {
-            Some(w) if w.health == Health::Up && w.life == conn.life => w.idle.push(conn.clone()),
+            Some(w) if w.state.health == Health::Up && w.life == conn.life => {
+                self.rests += 1;
+                conn.rest_key.set(RestKey::new(now, self.rests));
+                self.resting.insert(conn.rest_key.get(), conn.clone());
+                w.idle.push(conn.clone());
+            }
             _ => conn.close(),
         }
     }
@@ -271,10 +384,9 @@
     /// A place for one more connection. At the limit the longest idle one of any worker makes room.
     pub fn place(&mut self) -> Option<Place> {
         if self.open.get() >= self.most {
-            let age = |w: &&mut Worker| w.idle.first().map_or(f64::INFINITY, |c| c.idle_since.get());
-            let oldest = self.all.values_mut().min_by(|a, b| age(a).total_cmp(&age(b)));
-            let oldest = oldest.filter(|w| !w.idle.is_empty())?;
-            oldest.idle.remove(0).close();
+            let (_, oldest) = self.resting.pop_first()?;
+            self.forget(&oldest);
+            oldest.close();
         }
         self.open.set(self.open.get() + 1);
         Some(Place(self.open.clone()))
@@ -282,6 +394,7 @@
 
     /// Forgets a connection that has ended.
     pub fn forget(&mut self, conn: &Rc<Conn>) {
+        self.resting.remove(&conn.rest_key.get());
         if let Some(worker) = self.all.get_mut(&conn.worker) {
             worker.idle.retain(|c| !Rc::ptr_eq(c, conn));
         }
@@ -290,9 +403,10 @@
     /// Closes what has stood idle since before this time: a worker closes it too, and a request that
     /// crosses that is a reset.
     pub fn sweep(&mut self, before: f64) {
-        for worker in self.all.values_mut() {
-            let old = worker.idle.iter().take_while(|c| c.idle_since.get() < before).count();
-            worker.idle.drain(..old).for_each(|conn| conn.close());
+        while let Some(oldest) = self.resting.first_entry().filter(|e| e.get().idle_since.get() < before) {
+            let conn = oldest.remove();
+            self.forget(&conn);
+            conn.close();
         }
     }
 }
--- a/src/bin/frostvale/workers/tests.rs
+++ b/src/bin/frostvale/workers/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use proptest::prelude::*;
 
 /// The settings name the columns in full, and answers use these names: read by the short ones alone, no report of a
 /// server was ever heard.
@@ -10,3 +11,79 @@
     let spoilt = report(b"utilization=NaN,throughput=-1,outstanding=9e999,x,=,utilization");
     assert_eq!(spoilt, None, "what can't be read is no report");
 }
+
+fn state(port: u16, health: Health, boot_ms: u32) -> EndpointState {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    EndpointState { address, zone: 0, kind: 0, cell: 0, health, size: 1.0, boot_ms: f64::from(boot_ms) }
+}
+
+/// The same by a look at all workers for each line, as the protocol page has it.
+#[derive(Default)]
+struct Model(BTreeMap<String, EndpointState>);
+
+impl Model {
+    fn apply(&mut self, whole: bool, lines: &[(String, EndpointState)]) {
+        if whole {
+            self.0.retain(|name, _| lines.iter().any(|(named, _)| named == name));
+        }
+        let mut moved_in = Vec::new();
+        for (name, line) in lines {
+            let before = self.0.get(name).copied();
+            if line.health == Health::Gone {
+                self.0.remove(name);
+                continue;
+            }
+            let boot_ms = before.map_or(line.boot_ms, |known| known.boot_ms.max(line.boot_ms));
+            self.0.insert(name.clone(), EndpointState { boot_ms, ..*line });
+            if line.health == Health::Up && before.is_none_or(|known| known.address != line.address) {
+                moved_in.push(name.clone());
+            }
+        }
+        for name in moved_in.iter().rev() {
+            let Some(owner) = self.0.get(name).copied().filter(|s| s.health == Health::Up) else { continue };
+            let stays =
+                |other: &EndpointState| other.address != owner.address || other.boot_ms > owner.boot_ms;
+            self.0.retain(|other, state| other == name || stays(state));
+        }
+    }
+}
+
+proptest! {
+    /// Only lines that differ are applied, by index; all of them, by a look at each, come to the same.
+    #[test]
+    fn lists_applied_by_their_differences_leave_what_whole_ones_would(
+        updates in prop::collection::vec(
+            (any::<bool>(), prop::collection::vec((0u8..12, 1u16..9, 0u8..8, 0u32..3), 0..12)),
+            1..20,
+        ),
+    ) {
+        let (mut workers, mut model) = (Workers::new(8, 1 << 20), Model::default());
+        for (whole, lines) in updates {
+            let lines: Vec<(String, EndpointState)> = lines
+                .into_iter()
+                .map(|(name, port, health, boot_ms)| {
+                    let health = [Health::Up, Health::Draining, Health::Gone][usize::from(health).saturating_sub(5)];
+                    (format!("s-{name}"), state(port, health, boot_ms))
+                })
+                .collect();
+            let named: HashSet<Cow<str>> = lines.iter().map(|(name, _)| Cow::Borrowed(name.as_str())).collect();
+            let absent = if whole { workers.absent_from(&named) } else { Vec::new() };
+            let mut seen = HashSet::new();
+            let changes: Vec<EndpointChange> = lines
+                .iter()
+                .filter(|(name, state)| !seen.insert(name) || workers.differs(name, state))
+                .map(|(name, state)| EndpointChange { name: name.as_str().into(), state: *state })
+                .collect();
+            workers.apply(&changes, &absent);
+            model.apply(whole, &lines);
+            let known: BTreeMap<String, EndpointState> =
+                workers.all.iter().map(|(name, worker)| (name.to_string(), worker.state)).collect();
+            prop_assert_eq!(&known, &model.0);
+            let placed: usize = workers.by_address.values().map(Vec::len).sum();
+            prop_assert_eq!(placed, known.len());
+            for (name, state) in &known {
+                prop_assert!(workers.by_address[&state.address].iter().any(|at| **at == **name));
+            }
+        }
+    }
+}
--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -193,6 +193,7 @@
         println!("{name}: {answered} answered, {lost} lost, the latest after {worst} ms");
     }
     println!("{reached} requests reached servers, {twice} of them twice");
+    println!("the log of the first gatekeeper: {:#?}", nodes[0].log.lock().expect("whole"));
     for (name, [answered, lost, worst]) in phases {
         assert!(answered > 0, "{name}: nothing was answered");
         assert_eq!(lost, 0, "{name}: of {answered} the latest after {worst} ms");
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -120,6 +120,29 @@
     }
 }
 
+#[test]
+fn of_a_server_that_a_list_names_twice_the_last_line_holds() {
+    let (a, b) = (Door::open(), Door::open());
+    let line = |uid, at: &Door, state| target(uid, at.at, state, 0);
+    let (discovery, mut node, mut watch) =
+        by_hand(&list(1, true, &[line("s-1", &a, "ready"), line("s-2", &b, "ready")]));
+    serving(&mut node);
+    // What was known before stands first for the one and last for the other.
+    let twice = [
+        line("s-1", &a, "draining"),
+        line("s-1", &a, "ready"),
+        line("s-2", &b, "ready"),
+        line("s-2", &b, "draining"),
+    ];
+    push(watch.read.get_mut(), &list(2, true, &twice));
+    push(watch.read.get_mut(), "{nonsense");
+    discovery.next();
+    for _ in 0..10 {
+        goes_to(&node, &a);
+    }
+    assert!(b.nobody());
+}
+
 /// A list in pieces and indented, as a watch and as a whole.
 #[test]
 fn lists_in_pieces_and_indented_are_read() {
