No scan of all servers at a change of the list, nor for the fleet's warmth

Each change of the list looked at all servers for those to forget, and a request, at most every 100 ms, at all of them for the mean warmth. Change: the servers that are gone and have something out stand in a list of their own; those that warm up in src/warming.rs, as a count and a sum of starts: O(log n) a change, O(1) a look. A whole list is compared by a hash set.

--- a/src/control.rs
+++ b/src/control.rs
@@ -25,11 +25,12 @@
 use crate::state::*;
 use crate::swept::Swept;
 use crate::tiers::tiers;
+use crate::warming::Warming;
 use crate::window::Window;
 use crate::zones::Zones;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeSet;
+use std::collections::HashSet;
 use warm_up::{Among, COLD_PART, Ramp};
 
 /// How many times the accepts may be sent on: with success under 1/K all but the minimum is refused.
@@ -103,6 +104,9 @@
     customers: Swept<Customer>,
     post: Post,
     servers: Roster,
+    warming: Warming,
+    /// Servers that are gone and may have something out.
+    departed: Vec<u32>,
     rumors: Rumors,
     held: Hands,
     waits: Waits,
@@ -148,6 +152,8 @@
             born: None,
             customers: Swept::default(),
             servers: Roster::default(),
+            warming: Warming::default(),
+            departed: Vec::new(),
             rumors: Rumors::new((cfg.me, cfg.gateways), if many { rumor_rate(&cfg) } else { 0.0 }, seed),
             held: Hands::default(),
             waits: Waits::default(),
@@ -208,14 +214,18 @@
 
     fn on_servers(&mut self, listing: Listing, lines: Vec<Server>) {
         if listing == Listing::Complete {
-            let named: BTreeSet<&Name> = lines.iter().map(|s| &s.name).collect();
+            let named: HashSet<&Name> = lines.iter().map(|s| &s.name).collect();
+            let unnamed = self.servers.all_mut().filter(|(_, s)| !named.contains(&s.name));
             let mut gone = Vec::new();
-            for (number, s) in self.servers.all_mut().filter(|(_, s)| !named.contains(&s.name)) {
+            for (number, s) in unnamed {
                 s.health = Health::Gone;
                 gone.push(number);
                 self.rumors.listed(&s.name, false, false);
             }
-            gone.into_iter().for_each(|number| self.servers.down(number));
+            for number in gone {
+                self.close_to(number);
+                self.departed.push(number);
+            }
         }
         let (now, many) = (self.now, self.many());
         for line in lines {
@@ -240,12 +250,40 @@
             (s.zone, s.cell, s.size) = (line.zone, line.cell, line.size);
             // A list that goes back in time makes nobody warm.
             (s.health, s.since) = (line.health, line.since.max(s.since));
+            let since = s.since;
             match line.health {
-                Health::Up => self.servers.up(number, line.zone, line.cell),
-                _ => self.servers.down(number),
+                Health::Up => {
+                    self.servers.up(number, line.zone, line.cell);
+                    self.warming.insert(number, since);
+                }
+                Health::Draining => self.close_to(number),
+                Health::Gone => {
+                    self.close_to(number);
+                    self.departed.push(number);
+                }
             }
         }
-        self.servers.retain(|s| s.health != Health::Gone || !s.out.is_empty());
+        self.forget_departed();
+    }
+
+    /// Nothing new is sent to a server.
+    fn close_to(&mut self, number: u32) {
+        self.servers.down(number);
+        self.warming.remove(number);
+    }
+
+    /// Forgets servers that are gone and have nothing out any more.
+    fn forget_departed(&mut self) {
+        let mut departed = std::mem::take(&mut self.departed);
+        departed.retain(|number| {
+            let Some(s) = self.servers.at(*number).filter(|s| s.health == Health::Gone) else { return false };
+            let stays = !s.out.is_empty();
+            if !stays {
+                self.servers.remove(*number);
+            }
+            stays
+        });
+        self.departed = departed;
     }
 
     /// Words of notes to all that could not be read or named no listed server, so far. They change nothing.
--- a/src/control/warm_up.rs
+++ b/src/control/warm_up.rs
@@ -58,19 +58,12 @@
             return false;
         }
         if self.now - self.ramp.at >= LOOK_MS {
-            let view = self.view();
-            let (mut all, mut sum, mut cold, mut cold_sum) = (0.0, 0.0, 0.0, 0.0);
-            for warmth in
-                self.servers.of(None).iter().filter_map(|k| self.servers.at(*k)).map(|s| view.warmth(s))
-            {
-                (all, sum) = (all + 1.0, sum + warmth);
-                if warmth < 1.0 {
-                    (cold, cold_sum) = (cold + 1.0, cold_sum + warmth);
-                }
-            }
+            let cold = self.warming.cold(self.now, self.cfg.cold_from, self.cfg.warm_within);
+            let all = self.servers.of(None).len() as f64;
+            let sum = all - cold.count + cold.warmth;
             let times = (COLD_SHARE * self.cfg.fall_multiple).min(COLD_SHARE_MOST);
-            let part = if sum > 0.0 { times * cold_sum / sum } else { 0.0 };
-            let warmth = if cold > 0.0 { cold_sum / cold } else { 1.0 };
+            let part = if sum > 0.0 { times * cold.warmth / sum } else { 0.0 };
+            let warmth = if cold.count > 0.0 { cold.warmth / cold.count } else { 1.0 };
             self.ramp = Ramp { at: self.now, bears: sum > BEARS * all, part, warmth };
         }
         self.ramp.bears && self.ramp.part > 0.0 && self.rng.random::<f64>() < self.ramp.part
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 mod state;
 mod swept;
 mod tiers;
+mod warming;
 mod window;
 mod zones;
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -82,17 +82,12 @@
         self.servers.iter_mut().enumerate().filter_map(|(k, s)| Some((k as u32, s.as_mut()?)))
     }
 
-    /// Forgets servers that do not stay.
-    pub fn retain(&mut self, stays: impl Fn(&Live) -> bool) {
-        let going = |s: &Option<Live>| s.as_ref().is_some_and(|s| !stays(s));
-        let gone: Vec<u32> =
-            (0..self.servers.len()).filter(|k| going(&self.servers[*k])).map(|k| k as u32).collect();
-        for number in gone {
-            self.down(number);
-            if let Some(s) = self.servers[number as usize].take() {
-                self.by_name.remove(&s.name);
-                self.free.push(number);
-            }
+    /// Forgets a server.
+    pub fn remove(&mut self, number: u32) {
+        self.down(number);
+        if let Some(s) = self.servers.get_mut(number as usize).and_then(Option::take) {
+            self.by_name.remove(&s.name);
+            self.free.push(number);
         }
     }
 
--- a/src/roster/tests.rs
+++ b/src/roster/tests.rs
@@ -21,7 +21,9 @@
                     model.remove(&name);
                 }
                 _ => {
-                    roster.retain(|s| s.name != name);
+                    if let Some(number) = roster.number(&name) {
+                        roster.remove(number);
+                    }
                     model.remove(&name);
                     known.remove(&name);
                 }
