Requests before the first list are taken in and held, and the known list comes first

Cause: the kernel took connections for the process before the known list was read and applied, and nothing was accepted until discovery's first list or 1 s. What stood in the queue meanwhile was read late, and its time counted from then: it was told to a server anew and the answer came after the client's time. Change: the configuration and the known list are read before the listener is bound. Connections are accepted at once; requests are held, refused at 0.4 of their time, and go on with the first list, after 1 s, or at the end; a PING is answered then.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -484,7 +484,13 @@
                 1 => echo.extend_from_slice(b"+PONG\r\n"),
                 _ => resp::put_bulk(&mut echo, command.part(bytes, 1)),
             }
-            self.say(&echo);
+            if gateway.borrow().serving() {
+                return self.say(&echo);
+            }
+            let mut gateway = gateway.borrow_mut();
+            let id = gateway.next_id();
+            self.out.borrow_mut().slots.push_back(Slot::Waiting(id));
+            gateway.answer_once_serving(id, self.clone(), echo);
         } else {
             self.say(b"-ERR unknown command\r\n");
         }
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -6,6 +6,7 @@
 mod outside;
 mod parties;
 mod record;
+mod starting;
 mod trace;
 mod zones;
 
@@ -73,6 +74,7 @@
     Attempt(u64, u32),
     Answer(u64),
     Consult(u64),
+    Held(u64),
     Sweep,
 }
 
@@ -89,6 +91,8 @@
     /// The clients' ids of the requests in hand.
     open: HashSet<u64>,
     workers: Workers,
+    /// What waits for the first list; none once that is there.
+    held_at_start: Option<starting::Held>,
     /// Endpoint updates are applied one at a time.
     update_turns: Rc<Mutex<()>>,
     ear: Rc<dyn Ear>,
@@ -133,6 +137,7 @@
                 held_most: memory,
                 open: HashSet::new(),
                 workers: Workers::new(connections, memory),
+                held_at_start: Some(starting::Held::default()),
                 update_turns: Rc::default(),
                 ear: Rc::new(Heard(me.clone())),
                 checks: HashMap::new(),
@@ -224,6 +229,15 @@
             },
         );
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
+        if self.serving() {
+            self.begin_request(request);
+        } else {
+            self.hold(request);
+        }
+    }
+
+    /// A request goes on to the module, or an outside service is asked first.
+    fn begin_request(&mut self, request: Request) {
         if self.outside.as_ref().is_some_and(|o| o.wants(request.plan)) {
             return self.consult(request);
         }
@@ -602,6 +616,7 @@
             }
             Due::Answer(id) => self.requests.get(id).is_some_and(|r| r.client.is_some()),
             Due::Consult(call) => self.outside.as_ref().is_some_and(|o| o.waits(*call)),
+            Due::Held(id) => !self.serving() && self.requests.get(id).is_some_and(|r| r.pending.is_some()),
         }
     }
 
@@ -641,6 +656,7 @@
                     self.tidy(id);
                 }
                 Due::Consult(call) => self.outside_verdict(call, Verdict::Failed),
+                Due::Held(id) => self.refuse_held(id),
                 Due::Sweep => self.sweep(),
             }
         }
--- a/src/bin/frostvale/gateway/in_flight.rs
+++ b/src/bin/frostvale/gateway/in_flight.rs
@@ -35,7 +35,7 @@
     pub(super) ask: Ask,
     /// Who is owed the answer; none once it is given or the client has left.
     pub(super) client: Option<Rc<dyn Caller>>,
-    /// The module has not heard of it yet: an outside service is asked first.
+    /// The module has not heard of it yet: it waits for the first list, or an outside service is asked first.
     pub(super) pending: Option<Request>,
     /// When the client's time is over, in ms of the clock.
     pub(super) due: f64,
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -100,8 +100,6 @@
     let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
     frostvale_log::init("frostvale", ("instance", &name), extra.log.format, &extra.log.level)?;
     let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
-    let listen = listener.local_addr().unwrap_or(listen);
     let peers = match config.peer_listen {
         Some(at) => {
             let peers = Peers::bind(at, std::mem::take(&mut config.peers), config.peers_all).await;
@@ -147,6 +145,9 @@
     {
         tracing::warn!("the known endpoints are passed over: {error}");
     }
+    // From here on the kernel takes connections, and their requests' time runs.
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let listen = listener.local_addr().unwrap_or(listen);
     let news = Rc::new(Notify::new());
     gateway.borrow_mut().news = news.clone();
     if let Some(peers) = peers {
@@ -202,19 +203,7 @@
             _ = int.recv() => {}
         }
     };
-    tokio::pin!(stop);
-    // Nothing is accepted before there is somebody to send it to.
-    let stopped = tokio::select! {
-        () = &mut stop => true,
-        _ = timeout(FIRST_LIST, news.notified()) => false,
-    };
-    if !stopped {
-        tracing::info!("{name} serves at {listen}");
-        tokio::select! {
-            () = clients.clone().accept(&listener, gateway.clone()) => {}
-            () = &mut stop => {}
-        }
-    }
+    serve_until(stop, &clients, &listener, &gateway, &news, &format!("{name} serves at {listen}")).await;
     tracing::info!("{name} stops");
     if let Some(links) = &links {
         links.stop();
@@ -233,6 +222,31 @@
     Ok(())
 }
 
+/// Takes in clients until `stop`. Nothing goes on to servers before the first list, or until discovery has been silent for
+/// too long; `serving` is logged then.
+async fn serve_until(
+    stop: impl Future<Output = ()>,
+    clients: &Rc<Clients>,
+    listener: &TcpListener,
+    gateway: &Shared,
+    first_list: &Notify,
+    serving: &str,
+) {
+    let begin = async {
+        let _ = timeout(FIRST_LIST, first_list.notified()).await;
+        gateway.borrow_mut().begin_serving();
+        tracing::info!("{serving}");
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = stop => {}
+        () = clients.clone().accept(listener, gateway.clone()) => {}
+        () = begin => {}
+    }
+    // What is held is answered before the end, by what is known.
+    gateway.borrow_mut().begin_serving();
+}
+
 /// Logs the counts now and then, where they have changed.
 async fn log_metrics(gateway: Shared) {
     let mut logged = Metrics::default();
--- a/src/bin/frostvale/metrics.rs
+++ b/src/bin/frostvale/metrics.rs
@@ -23,7 +23,9 @@
     /// Final answers that came after the client's time, and the latest of them.
     answers_late: u64,
     answers_worst_ms: u64,
-    /// Requests that were refused, by reason.
+    /// Requests that were refused before the first list was there.
+    refused_at_start: u64,
+    /// Requests that the module refused, by reason.
     refused: HashMap<RefusalReason, u64>,
 }
 
@@ -82,7 +84,12 @@
         self.answers_worst_ms = self.answers_worst_ms.max(late_ms as u64);
     }
 
-    /// A request was refused.
+    /// A request was refused before the first list was there.
+    pub fn refused_at_start(&mut self) {
+        self.refused_at_start += 1;
+    }
+
+    /// The module refused a request.
     pub fn refused(&mut self, reason: RefusalReason) {
         *self.refused.entry(reason).or_default() += 1;
     }
@@ -112,6 +119,7 @@
             list_step_worst_us = self.list_step_worst_us,
             answers_late = self.answers_late,
             answers_worst_ms = self.answers_worst_ms,
+            refused_at_start = self.refused_at_start,
             refused = %self.refusals(),
             "counts since the start"
         );
--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -8,7 +8,7 @@
 use rig::*;
 use std::collections::HashSet;
 use std::io::{BufRead, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -97,11 +97,6 @@
     std::env::var(variable).map_or(default, |text| text.parse().expect("a number"))
 }
 
-/// A port that was free just now.
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
 /// The first core that this process may use, as `taskset` names it.
 fn one_core() -> String {
     let status = std::fs::read_to_string("/proc/self/status").expect("the kernel's word");
@@ -109,18 +104,6 @@
     list.trim().split([',', '-']).next().expect("a core").to_string()
 }
 
-/// Connects as soon as the kernel takes connections for the process.
-fn connect_early(at: SocketAddr) -> TcpStream {
-    let begun = Instant::now();
-    loop {
-        match TcpStream::connect(at) {
-            Ok(stream) => return stream,
-            Err(e) => assert!(begun.elapsed() < LONG, "{e}"),
-        }
-        thread::sleep(Duration::from_millis(1));
-    }
-}
-
 /// The time from a request to its final answer; none where the connection ended without one.
 fn time_of_answer(client: &mut Line) -> Option<Duration> {
     let sent = Instant::now();
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod rig;
 mod settings;
 mod shutdown;
+mod start;
 mod workers;
 
 use rig::*;
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -381,6 +381,23 @@
     watch.write_all(chunk.as_bytes()).expect("written");
 }
 
+/// A port that was free just now.
+pub fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// Connects as soon as the kernel takes connections for the process.
+pub fn connect_early(at: SocketAddr) -> TcpStream {
+    let begun = Instant::now();
+    loop {
+        match TcpStream::connect(at) {
+            Ok(stream) => return stream,
+            Err(e) => assert!(begun.elapsed() < LONG, "{e}"),
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 pub struct Node {
     pub child: Child,
     pub at: SocketAddr,
