A list that is still being read is not fetched a second time

Cause: a call without its whole list after 1 s was followed by another, whatever had come of it. When calls are due is decided in discovery/call_clock.rs, without I/O.

--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -4,8 +4,11 @@
 //! what it says then counts at once. So whatever is silent stays open beside the calls that follow it, and goes once another
 //! one has spoken.
 
+mod call_clock;
+
 use crate::backoff::Backoff;
 use crate::gateway::{Shared, apply_update};
+use call_clock::CallClock;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -17,7 +20,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinSet, yield_now};
 use tokio::time::{Instant, sleep_until};
 
 /// From the start of silence, or from when discovery can be reached again, to the list in effect: a change counts as told
@@ -30,16 +33,14 @@
 /// An empty line comes this often while nothing changes.
 #[cfg(test)]
 const PERIOD: Duration = Duration::from_secs(2);
-/// With no whole line for this long a watch is thought dead, whatever TCP says and whatever pieces of one still come.
-const SILENT: Duration = Duration::from_secs(3);
-/// The agent answers at once with what it has: without the whole list by then another call is made.
-const CALL: Duration = Duration::from_secs(1);
 /// So many calls are kept open beside a watch that has fallen silent.
 const CALLS_MOST: usize = 2;
 /// One that ends sooner than this after its list, each time, is called with growing pauses.
 const LASTED: Duration = Duration::from_millis(500);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
+/// So much more of a list counts as progress: less of it may be a line that never ends.
+const PROGRESS_BYTES: usize = 16 * 1024;
 
 /// Follows discovery for as long as the process lives. At a new address all begins anew: versions are its own, and what is
 /// on its way from the old one is dropped.
@@ -58,11 +59,13 @@
     }
 }
 
-/// Which session spoke last, and when.
+/// What sessions have read: who spoke last, and when a list that is not whole yet last grew.
 #[derive(Default)]
 struct Heard {
     last: Cell<Option<(u64, Instant)>>,
     news: Notify,
+    progress: Cell<Option<Instant>>,
+    unmarked_bytes: Cell<usize>,
 }
 
 impl Heard {
@@ -70,6 +73,15 @@
         self.last.set(Some((session, Instant::now())));
         self.news.notify_one();
     }
+
+    /// So many bytes of a list have come.
+    fn read(&self, bytes: usize) {
+        let unmarked = self.unmarked_bytes.get() + bytes;
+        if unmarked >= PROGRESS_BYTES {
+            self.progress.set(Some(Instant::now()));
+        }
+        self.unmarked_bytes.set(unmarked % PROGRESS_BYTES);
+    }
 }
 
 /// Follows discovery at one address without end.
@@ -77,9 +89,10 @@
     backoff.reset();
     let heard = Rc::new(Heard::default());
     let mut sessions = JoinSet::new();
-    // Those that are open, the oldest first, and when the next one begins unless something is heard.
+    // Those that are open, the oldest first.
     let mut open: Vec<(u64, AbortHandle)> = Vec::new();
-    let (mut last, mut due, mut complained) = (0, Instant::now(), false);
+    let (mut last, mut complained) = (0, false);
+    let mut clock = CallClock::new(Instant::now());
     loop {
         tokio::select! {
             () = heard.news.notified() => {
@@ -94,7 +107,7 @@
                     }
                     *session == speaker
                 });
-                due = at + SILENT;
+                clock.heard(at);
             }
             Some(ended) = sessions.join_next() => {
                 let Ok((session, lasted, what)) = ended else { continue };
@@ -106,9 +119,15 @@
                 if !std::mem::replace(&mut complained, true) {
                     tracing::warn!("discovery at {address}: {what}; trying again");
                 }
-                due = due.min(Instant::now() + Duration::from_secs_f64(backoff.pause() / 1000.0));
+                clock.ended(Instant::now(), Duration::from_secs_f64(backoff.pause() / 1000.0));
             }
-            () = sleep_until(due) => {
+            () = sleep_until(clock.due()) => {
+                // What has come while this process was held up is read first.
+                yield_now().await;
+                if clock.put_off(heard.progress.get()) {
+                    tracing::debug!(open = open.len(), "a list is being read: discovery is not called yet");
+                    continue;
+                }
                 if open.len() > CALLS_MOST {
                     // The one that was a watch may speak again, and of the calls the latest.
                     open.remove(1).1.abort();
@@ -117,7 +136,7 @@
                 tracing::debug!(call = last, open = open.len(), "discovery is called");
                 let task = sessions.spawn_local(session(last, gateway.clone(), address, heard.clone()));
                 open.push((last, task));
-                due = Instant::now() + CALL;
+                clock.called(Instant::now());
             }
         }
     }
@@ -131,13 +150,13 @@
     heard: Rc<Heard>,
 ) -> (u64, Duration, String) {
     let mut driver = JoinSet::new();
-    let (mut call, rev) = match fetch(&gateway, address, &mut driver).await {
+    let (mut call, rev) = match fetch(&gateway, address, &mut driver, &heard).await {
         Ok(fetched) => fetched,
         Err(what) => return (number, Duration::ZERO, what),
     };
     let began = Instant::now();
     heard.from(number);
-    let ended = listen(&gateway, &mut call, address, rev, || heard.from(number)).await;
+    let ended = listen(&gateway, &mut call, address, rev, (&heard, number)).await;
     (number, began.elapsed(), ended.err().unwrap_or_else(|| "the watch ended".to_string()))
 }
 
@@ -147,17 +166,18 @@
     call: &mut SendRequest<Empty<Bytes>>,
     address: SocketAddr,
     rev: u64,
-    heard: impl Fn(),
+    (heard, session): (&Heard, u64),
 ) -> Result<(), String> {
     let mut body = get(call, address, &format!("/v1/servers?stream=1&index={rev}")).await?.into_body();
     let mut lines = Lines::default();
     while let Some(frame) = body.frame().await {
         let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
+        heard.read(data.len());
         for line in lines.take(&data)? {
             if !line.trim_ascii().is_empty() {
                 take(gateway, &line).await?;
             }
-            heard();
+            heard.from(session);
         }
     }
     Ok(())
@@ -168,6 +188,7 @@
     gateway: &Shared,
     address: SocketAddr,
     driver: &mut JoinSet<()>,
+    heard: &Heard,
 ) -> Result<(SendRequest<Empty<Bytes>>, u64), String> {
     let connecting = |e: &dyn std::fmt::Display| format!("connecting: {e}");
     let stream = TcpStream::connect(address).await.map_err(|e| connecting(&e))?;
@@ -180,7 +201,9 @@
     let mut body = get(&mut call, address, "/v1/servers").await?.into_body();
     let mut text = Vec::new();
     while let Some(frame) = body.frame().await {
-        text.extend_from_slice(&frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default());
+        let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
+        heard.read(data.len());
+        text.extend_from_slice(&data);
         if text.len() > LIST_MOST {
             return Err("the list is too long".into());
         }
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -3,6 +3,7 @@
 use crate::rig::*;
 use std::io::Write;
 use std::net::TcpStream;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// What counts as told after this, whatever failed in between.
@@ -143,6 +144,23 @@
     assert!(b.nobody());
 }
 
+#[test]
+fn a_list_that_is_still_being_read_is_not_fetched_again() {
+    let (discovery, worker) = (Door::open(), Door::open());
+    let mut node = spawn(&Setup::new(discovery.at).config(), "exec");
+    let mut line = discovery.next();
+    line.call();
+    let text = list(1, true, &[target("s-1", worker.at, "ready", 0)]) + &" ".repeat(400_000);
+    line.say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len()));
+    for piece in text.as_bytes().chunks(20_000) {
+        line.say(piece);
+        thread::sleep(Duration::from_millis(70));
+    }
+    assert!(line.call().contains("stream=1"));
+    assert!(discovery.nobody(), "the list was fetched a second time");
+    serving(&mut node);
+}
+
 /// A list in pieces and indented, as a watch and as a whole.
 #[test]
 fn lists_in_pieces_and_indented_are_read() {
