The configuration is read without a tree of the list of servers in it

At the start and at each SIGHUP, on the event loop, the whole configuration was read into a tree of values for the sake of the settings' digest, the known list of thousands of servers with it. Change: the settings and the known list are cut out of the file as text; the settings alone are read into types, and into a tree for the digest. An error still names its place in the file. The event loop's watch reads the kernel's account once a second.

--- a/src/bin/frostvale/config.rs
+++ b/src/bin/frostvale/config.rs
@@ -26,7 +26,14 @@
     peers_all: String,
     #[serde(default)]
     known: Option<Box<RawValue>>,
-    settings: Conf,
+    settings: Box<RawValue>,
+}
+
+/// The settings alone, for an error that names its place in the file.
+#[derive(Deserialize)]
+struct SettingsOnly {
+    #[serde(rename = "settings")]
+    _settings: Conf,
 }
 
 #[derive(Deserialize)]
@@ -92,10 +99,10 @@
         let path = env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration file".to_string())?;
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
-        let whole: serde_json::Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let conf = read_settings(&text, &file.settings).map_err(|e| format!("{path}: {e}"))?;
         let told = |name: &str, other: String| env::var(name).ok().filter(|v| !v.is_empty()).unwrap_or(other);
-        file.settings.check().map_err(|e| format!("{path}: {e}"))?;
-        let settings = file.settings.settings();
+        conf.check().map_err(|e| format!("{path}: {e}"))?;
+        let settings = conf.settings();
         settings.check().map_err(|e| format!("{path}: {e}"))?;
         // A new start must not draw the lots of the last one, nor those of its peers.
         let seed = u64::from_str_radix(file.seed.trim(), 16).map_err(|e| format!("{path}: seed: {e}"))?;
@@ -119,13 +126,25 @@
                 .then(|| address("peers_all", &file.peers_all))
                 .transpose()?,
             known: file.known,
-            conf: file.settings,
+            conf,
             settings,
-            text: whole["settings"].to_string(),
+            text: in_order(&file.settings).map_err(|e| format!("{path}: {e}"))?,
         })
     }
 }
 
+/// The settings in a file's text. The list of servers beside them is not read for it, unless there is an error to be placed.
+fn read_settings(file: &[u8], settings: &RawValue) -> Result<Conf, serde_json::Error> {
+    serde_json::from_str(settings.get())
+        .map_err(|error| serde_json::from_slice::<SettingsOnly>(file).err().unwrap_or(error))
+}
+
+/// The settings' text with keys in order and no white space.
+fn in_order(settings: &RawValue) -> Result<String, serde_json::Error> {
+    let tree: serde_json::Value = serde_json::from_str(settings.get())?;
+    Ok(tree.to_string())
+}
+
 fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{what}: {text:?} is not an address and port"))
 }
--- a/src/bin/frostvale/event_loop.rs
+++ b/src/bin/frostvale/event_loop.rs
@@ -1,7 +1,7 @@
 //! Watches the event loop: one thread decides, so whatever holds it up delays every answer.
 //!
-//! One timer every [`PERIOD`]. A turn that comes late is counted and logged, with how much of the delay was this process's
-//! own work and how much it waited for a core. Costs one timer and one small read of `/proc` each period.
+//! One timer every [`PERIOD`]. A turn that comes late is counted and logged, with how much of the last second or so was this
+//! process's own work and how much it waited for a core. Costs one timer each period, and a small read of `/proc` a second.
 
 use crate::gateway::Shared;
 use std::fs::File;
@@ -11,6 +11,8 @@
 
 /// Time between two looks.
 const PERIOD: Duration = Duration::from_millis(250);
+/// Looks between two readings of the kernel's account.
+const ACCOUNT_PERIODS: u32 = 4;
 /// A turn that is later than this is told of.
 const LATE_AFTER: Duration = Duration::from_millis(50);
 
@@ -42,12 +44,14 @@
 pub async fn watch(gateway: Shared) {
     let account = Account::open();
     let mut before = account.read();
+    let mut looks = 0;
     loop {
         let due = Instant::now() + PERIOD;
         sleep_until(due.into()).await;
         let late = Instant::now().saturating_duration_since(due);
-        let now = account.read();
+        looks += 1;
         if late > LATE_AFTER {
+            let now = account.read();
             let ms = |after: u64, before: u64| after.saturating_sub(before) / 1_000_000;
             tracing::warn!(
                 late_ms = late.as_millis() as u64,
@@ -57,6 +61,8 @@
             );
             gateway.borrow_mut().metrics.loop_held_up(late);
         }
-        before = now;
+        if looks % ACCOUNT_PERIODS == 0 {
+            before = account.read();
+        }
     }
 }
