The test on the last place counts those that did speak soon enough

Cause: in the test. It reads the kernel's table of connections until its own is accepted; with thousands of entries and a busy machine this takes longer than the 0.2 s for which a fresh connection keeps the last place, so it speaks too late and is rightly closed. Change: as strict as before, at least one of 20 has to be served; only those count that spoke within 0.1 s of connecting.

--- a/tests/node/clients.rs
+++ b/tests/node/clients.rs
@@ -8,6 +8,8 @@
 /// How a client leaves.
 type Leave = fn(Line);
 
+/// A connection that has only just come keeps the last place for twice as long.
+const SOON: Duration = Duration::from_millis(100);
 const WAYS: [Leave; 2] = [drop, Line::reset];
 
 /// A client that is not read from at the moment, as it has too much in flight or is to be closed, and leaves behind bytes
@@ -222,14 +224,20 @@
     node.thaw();
     assert_eq!(last.answer(), "+PONG", "its command was there");
     drop(last);
-    // However slow this machine is, some of them speak soon enough.
-    let served = (0..20).filter(|_| {
+    // Those count that speak soon enough after they have connected, however slow this machine is.
+    let (begun, mut timely, mut served) = (Instant::now(), 0, 0);
+    while timely < 20 && served == 0 {
+        assert!(begun.elapsed() < LONG, "this machine is too slow for anybody to speak in time");
+        let connecting = Instant::now();
         let mut last = node.client();
         last.accepted();
         let _ = last.read.get_mut().write_all(&words(&["PING"]));
-        let mut answer = String::new();
-        last.read.read_line(&mut answer).is_ok() && answer.starts_with("+PONG")
-    });
-    assert!(served.count() > 0, "nobody who speaks after being accepted is served");
+        if connecting.elapsed() < SOON {
+            timely += 1;
+            let mut answer = String::new();
+            served += u32::from(last.read.read_line(&mut answer).is_ok() && answer.starts_with("+PONG"));
+        }
+    }
+    assert!(served > 0, "nobody who speaks after being accepted is served");
     drop(holders);
 }
