--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -149,7 +149,7 @@
         let at = free_port();
         let config = setup.config().replace("127.0.0.1:0", &at.to_string());
         clients.push(client_of(at, phase.clone(), stop.clone()));
-        nodes.push(spawn(&config, &setup.shell));
+        nodes.push((spawn(&config, &setup.shell), config));
     }
     let mut watches: Vec<TcpStream> = (0..gatekeepers).map(|_| discovery.watch()).collect();
     thread::sleep(Duration::from_secs(1));
@@ -168,15 +168,24 @@
     thread::sleep(Duration::from_secs(3));
     let whole = next_phase();
 
+    // The configuration is read again, with its list of thousands, and the whole list is asked for.
+    nodes.iter().for_each(|(node, config)| node.reload(config));
+    thread::sleep(Duration::from_secs(3));
+    let reload = next_phase();
+
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().expect("a client"));
     let (reached, twice) = servers.runs();
-    let phases = [("at the start", start.figures()), ("at a new whole list", whole.figures())];
+    let phases = [
+        ("at the start", start.figures()),
+        ("at a new whole list", whole.figures()),
+        ("at a reload", reload.figures()),
+    ];
     for (name, [answered, lost, worst]) in phases {
         println!("{name}: {answered} answered, {lost} lost, the latest after {worst} ms");
     }
     println!("{reached} requests reached servers, {twice} of them twice");
-    println!("the log of the first gatekeeper: {:#?}", nodes[0].log.lock().expect("whole"));
+    println!("the log of the first gatekeeper: {:#?}", nodes[0].0.log.lock().expect("whole"));
     for (name, [answered, lost, worst]) in phases {
         assert!(answered > 0, "{name}: nothing was answered");
         assert_eq!(lost, 0, "{name}: of {answered} the latest after {worst} ms");
