Seeded lists, reloads, pauses and restarts around thousands of servers, under clients

No answer comes later than its time and 0.5 s, nothing runs twice, and of what reached a server only what a killed gatekeeper held goes unanswered. Who sent a note is found by a hash, not a scan of all gatekeepers.

--- a/src/bin/frostvale/peers.rs
+++ b/src/bin/frostvale/peers.rs
@@ -1,5 +1,6 @@
 //! Notes between gatekeepers: one UDP socket, datagrams of at most 256 bytes.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -51,6 +52,8 @@
 
     /// The task that takes notes in.
     pub async fn listen(self, me: u32, heard: impl Fn(u32, &str)) {
+        let numbered = self.addresses.iter().zip(0u32..);
+        let numbers: HashMap<SocketAddr, u32> = numbered.map(|(address, k)| (*address, k)).collect();
         let mut bytes = [0u8; NOTE_MOST + 1];
         loop {
             // An error is an earlier note that could not be delivered, or lasting: then this must not spin.
@@ -59,8 +62,9 @@
                 continue;
             };
             // Only peers are heard, and only in words that may be a note.
-            let known = self.addresses.iter().position(|a| *a == from).and_then(|k| u32::try_from(k).ok());
-            let Some(from) = known.filter(|k| *k != me && len <= NOTE_MOST) else { continue };
+            let Some(from) = numbers.get(&from).copied().filter(|k| *k != me && len <= NOTE_MOST) else {
+                continue;
+            };
             let Ok(text) = std::str::from_utf8(&bytes[..len]) else { continue };
             heard(from, text);
         }
--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -5,12 +5,14 @@
 mod rig;
 
 use frostvale_standin::formula::{Formula, Options};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rig::*;
 use std::collections::HashSet;
 use std::io::{BufRead, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -25,6 +27,9 @@
 /// The pause between two requests of a client.
 const PACE: Duration = Duration::from_millis(50);
 
+/// Tests take turns for the core.
+static CORE: Mutex<()> = Mutex::new(());
+
 /// What clients saw of one phase.
 #[derive(Default)]
 struct Seen {
@@ -134,6 +139,7 @@
 
 #[test]
 fn large_lists_leave_no_request_without_its_answer_in_time() {
+    let _core = CORE.lock().unwrap_or_else(PoisonError::into_inner);
     let gatekeepers = size("LARGE_LIST_GATEKEEPERS", GATEKEEPERS);
     let servers = Servers::start(size("LARGE_LIST_SERVERS", SERVERS));
     let targets = servers.targets();
@@ -192,3 +198,178 @@
     }
     assert!(reached > 0 && twice == 0, "{reached} requests reached servers, {twice} of them twice");
 }
+
+/// Gatekeepers of a seeded run, the length of a run, and the seeds of a run without LARGE_LIST_SEEDS=FROM..TO.
+const SEEDED_GATEKEEPERS: usize = 6;
+const SEEDED_RUN: Duration = Duration::from_secs(8);
+const SEEDS: std::ops::Range<u64> = 1..4;
+/// The pause between two events of a seeded run.
+const EVENT_PAUSE: Duration = Duration::from_millis(150);
+/// How long a gatekeeper may be held up.
+const HELD_UP: Duration = Duration::from_millis(150);
+
+/// A gatekeeper that may be restarted, at one address.
+struct Restartable {
+    at: SocketAddr,
+    config: String,
+    node: Node,
+}
+
+impl Restartable {
+    fn start(setup: &Setup) -> Restartable {
+        let at = free_port();
+        let config = setup.config().replace("127.0.0.1:0", &at.to_string());
+        Restartable { at, node: spawn(&config, &setup.shell), config }
+    }
+
+    /// Ends it in order, or kills it, and starts it anew with this list known.
+    fn restart(&mut self, setup: &Setup, known: &str, in_order: bool) {
+        if in_order {
+            self.node.signal("-TERM");
+            assert!(self.node.exit().success(), "{:?}", self.node.log.lock());
+        }
+        let fresh =
+            Setup { known: known.to_string(), shell: setup.shell.clone(), ..Setup::new(setup.discovery) };
+        self.config = fresh.config().replace("127.0.0.1:0", &self.at.to_string());
+        let _ = self.node.child.kill();
+        let _ = self.node.child.wait();
+        self.node = spawn(&self.config, &setup.shell);
+    }
+}
+
+/// What became of the requests of a seeded run: late ones, and those whose connection ended without an answer.
+#[derive(Default)]
+struct Outcomes {
+    answered: AtomicU64,
+    late: Mutex<Vec<(String, Duration)>>,
+    unanswered: Mutex<Vec<String>>,
+}
+
+/// A client that sends one request after the other; where its connection ends it opens the next one.
+fn steady_client(at: SocketAddr, outcomes: Arc<Outcomes>, stop: Arc<AtomicBool>) -> JoinHandle<()> {
+    static IDS: AtomicU64 = AtomicU64::new(1 << 32);
+    thread::spawn(move || {
+        let mut client: Option<Line> = None;
+        while !stop.load(Ordering::SeqCst) {
+            let Some(line) = &mut client else {
+                // While it is down nobody listens there.
+                client = TcpStream::connect(at).ok().map(Line::of);
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let id = format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst));
+            let sent = Instant::now();
+            let written = line.read.get_mut().write_all(&ask_as(&id, DEADLINE.as_millis() as u32));
+            let mut answer = String::new();
+            let read = written.and_then(|()| line.read.read_line(&mut answer)).unwrap_or(0);
+            if answer.starts_with('$') {
+                let _ = line.read.read_line(&mut answer);
+            }
+            if read == 0 {
+                outcomes.unanswered.lock().expect("whole").push(id);
+                client = None;
+                continue;
+            }
+            outcomes.answered.fetch_add(1, Ordering::SeqCst);
+            if sent.elapsed() > DEADLINE + GRACE {
+                outcomes.late.lock().expect("whole").push((id, sent.elapsed()));
+            }
+            thread::sleep(PACE);
+        }
+    })
+}
+
+/// The list with one line in `every` gone or draining, by lot.
+fn changed_list(version: u64, targets: &[String], every: u32, rng: &mut Pcg64Mcg) -> String {
+    let lines = targets.iter().filter_map(|line| match rng.random_range(0..2 * every) {
+        0 => None,
+        1 => Some(line.replace("ready", "draining")),
+        _ => Some(line.clone()),
+    });
+    list(version, true, &lines.collect::<Vec<_>>())
+}
+
+/// Writes a line to all watches at once; those that have ended are dropped.
+fn push_all(watches: &mut Vec<TcpStream>, line: &str) {
+    let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+    let open: Vec<bool> = thread::scope(|scope| {
+        let chunk = chunk.as_bytes();
+        let writing: Vec<_> =
+            watches.iter_mut().map(|watch| scope.spawn(move || watch.write_all(chunk).is_ok())).collect();
+        writing.into_iter().map(|write| write.join().expect("written or not")).collect()
+    });
+    let mut open = open.into_iter();
+    watches.retain(|_| open.next().unwrap_or(false));
+}
+
+/// One run: lists, broken watches, reloads, pauses and restarts by lot, under clients.
+fn seeded_run(seed: u64, servers: &Servers) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let targets = servers.targets();
+    let mut whole = list(1, true, &targets);
+    let discovery = Discovery::with(whole.clone());
+    let shell = format!("exec taskset -c {}", one_core());
+    let setup = Setup { known: whole.clone(), shell, ..Setup::new(discovery.at) };
+    let (outcomes, stop) = (Arc::new(Outcomes::default()), Arc::new(AtomicBool::new(false)));
+    let mut nodes: Vec<Restartable> = (0..SEEDED_GATEKEEPERS).map(|_| Restartable::start(&setup)).collect();
+    let clients: Vec<_> =
+        nodes.iter().map(|node| steady_client(node.at, outcomes.clone(), stop.clone())).collect();
+    let (mut watches, mut version, begun) = (Vec::new(), 1, Instant::now());
+    let mut events = Vec::new();
+    while begun.elapsed() < SEEDED_RUN {
+        watches.extend(discovery.watches.try_iter());
+        let node = rng.random_range(0..nodes.len());
+        let event = rng.random_range(0..8);
+        events.push((begun.elapsed().as_millis(), event, node));
+        match event {
+            0 | 1 => {
+                version += 1;
+                whole = changed_list(version, &targets, if event == 0 { 100 } else { 3 }, &mut rng);
+                discovery.set(&whole);
+                push_all(&mut watches, &whole);
+            }
+            2 => {
+                let one = targets[rng.random_range(0..targets.len())].clone();
+                push_all(&mut watches, &list(version, false, &[one]));
+            }
+            3 => push_all(&mut watches, "{nonsense"),
+            4 => nodes[node].node.reload(&nodes[node].config),
+            5 => {
+                nodes[node].node.freeze();
+                thread::sleep(HELD_UP);
+                nodes[node].node.thaw();
+            }
+            6 => nodes[node].restart(&setup, &whole, rng.random::<bool>()),
+            _ => push_all(&mut watches, ""),
+        }
+        thread::sleep(EVENT_PAUSE);
+    }
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    let reached: HashSet<String> = servers.all.iter().flat_map(|s| s.books().runs.into_keys()).collect();
+    let answered = outcomes.answered.load(Ordering::SeqCst);
+    let late = std::mem::take(&mut *outcomes.late.lock().expect("whole"));
+    let unanswered = std::mem::take(&mut *outcomes.unanswered.lock().expect("whole"));
+    // A gatekeeper that is killed answers nothing more; of one that ends in order nothing that was read is lost.
+    println!("seed {seed}: {answered} answered, {} late, {} ended unanswered", late.len(), unanswered.len());
+    let logs: Vec<_> = nodes.iter().map(|node| node.node.log.lock().expect("whole").clone()).collect();
+    assert!(answered > 0 && late.is_empty(), "seed {seed}: late {late:?}; events {events:?}; logs {logs:#?}");
+    let killed = events.iter().filter(|(_, event, _)| *event == 6).count();
+    let lost = unanswered.iter().filter(|id| reached.contains(*id)).count();
+    assert!(lost <= killed, "seed {seed}: {lost} of those that reached a server; events {events:?}");
+}
+
+#[test]
+fn seeded_faults_around_large_lists_leave_no_answer_late() {
+    let _core = CORE.lock().unwrap_or_else(PoisonError::into_inner);
+    let seeds = std::env::var("LARGE_LIST_SEEDS").ok().map_or(SEEDS, |text| {
+        let (from, to) = text.split_once("..").expect("FROM..TO");
+        from.parse().expect("a number")..to.parse().expect("a number")
+    });
+    let servers = Servers::start(size("LARGE_LIST_SERVERS", SERVERS));
+    for seed in seeds {
+        seeded_run(seed, &servers);
+    }
+    let (reached, twice) = servers.runs();
+    assert!(reached > 0 && twice == 0, "{reached} requests reached servers, {twice} of them twice");
+}
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -362,10 +362,15 @@
         Discovery { at, watches, list: whole }
     }
 
+    /// Gives this list from now on.
+    pub fn set(&self, whole: &str) {
+        *self.list.lock().expect("whole") = whole.to_string();
+    }
+
     /// Has this in effect before it returns, and gives the watch that is open then: by a line, and as the list that is
     /// asked for once the watch has ended.
     pub fn tell(&self, mut watch: TcpStream, line: &str, whole: &str) -> TcpStream {
-        *self.list.lock().expect("whole") = whole.to_string();
+        self.set(whole);
         push(&mut watch, line);
         push(&mut watch, "{nonsense");
         self.watch()
