--- a/src/bin/frostvale/gateway/endpoints.rs
+++ b/src/bin/frostvale/gateway/endpoints.rs
@@ -50,10 +50,9 @@
                 continue;
             };
             let differs = gateway.workers.differs(&uid, &state);
-            let change = || EndpointChange { name: uid.as_ref().into(), state };
             // Of a server that is named twice the last line holds, also where it says what was known before.
             if differs || self.named.contains(&uid) {
-                self.changes.push(change());
+                self.changes.push(EndpointChange { name: uid.as_ref().into(), state });
             }
             self.named.insert(uid);
         }
