--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -265,15 +265,15 @@
             if answer.starts_with('$') {
                 let _ = line.read.read_line(&mut answer);
             }
+            if sent.elapsed() > DEADLINE + GRACE {
+                outcomes.late.lock().expect("whole").push((id.clone(), sent.elapsed()));
+            }
             if read == 0 {
                 outcomes.unanswered.lock().expect("whole").push(id);
                 client = None;
                 continue;
             }
             outcomes.answered.fetch_add(1, Ordering::SeqCst);
-            if sent.elapsed() > DEADLINE + GRACE {
-                outcomes.late.lock().expect("whole").push((id, sent.elapsed()));
-            }
             thread::sleep(PACE);
         }
     })
