Tests ask the kernel for one connection instead of reading the table of all

Cause: in the tests. They waited for a connection's state by reading /proc/net/tcp. Four suites leave 88,735 lines there, all but two connections in TIME_WAIT; `cat` of them takes 85 ms, and a test that has to speak within 100 ms of connecting never did.

--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -3,6 +3,9 @@
 #[allow(dead_code)]
 #[path = "node/rig.rs"]
 mod rig;
+#[allow(dead_code)]
+#[path = "node/sockets.rs"]
+mod sockets;
 
 use frostvale_standin::formula::{Formula, Options};
 use rand::{Rng, SeedableRng};
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod rig;
 mod settings;
 mod shutdown;
+mod sockets;
 mod start;
 mod workers;
 
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -1,5 +1,6 @@
 //! Small fakes of clients, workers and discovery, and the gatekeeper's process.
 
+use crate::sockets::{self, End};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -176,17 +177,14 @@
     /// Returns once the other side's kernel has all that was sent on this connection, and its end where that was sent too,
     /// whether or not the process there has read any of it.
     pub fn arrived(&self) {
-        // Open, or ended from one side or both with that acknowledged; and nothing is left to send.
-        let there = |state: &str, unsent: bool| !unsent && ["01", "05", "08"].contains(&state);
-        kernel_says(self.ends(), |line| {
-            line.is_none_or(|line| there(&line[3], !line[4].starts_with("00000000:")))
-        });
+        let (own, peer) = self.ends();
+        sockets::wait_for(own, peer, |end| end.is_none_or(End::all_acknowledged));
     }
 
     /// Returns once the process on the other side has taken this connection from its listener's queue.
     pub fn accepted(&self) {
         let (own, peer) = self.ends();
-        kernel_says((peer, own), |line| line.is_none_or(|line| line[9] != "0"));
+        sockets::wait_for(peer, own, |end| end.is_none_or(End::accepted));
     }
 
     /// Whether something has come that is not read yet.
@@ -244,43 +242,6 @@
     }
 }
 
-/// An address as the kernel's table writes it.
-fn as_listed(at: SocketAddr) -> String {
-    match at {
-        SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
-        SocketAddr::V6(_) => panic!("only IPv4 here"),
-    }
-}
-
-/// Waits until this holds of the kernel's table of connections, each line as its words.
-fn table_says(holds: impl Fn(&[Vec<String>]) -> bool) {
-    let begun = Instant::now();
-    loop {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table");
-        let words = |line: &str| line.split_ascii_whitespace().map(str::to_string).collect();
-        let lines: Vec<Vec<String>> = table.lines().map(words).collect();
-        if holds(&lines) {
-            return;
-        }
-        assert!(begun.elapsed() < LONG, "{table}");
-    }
-}
-
-/// Waits until this holds of what the kernel's table has of a connection, seen from its first end: its words, or nothing.
-fn kernel_says(ends: (SocketAddr, SocketAddr), holds: impl Fn(Option<&[String]>) -> bool) {
-    let ends = [as_listed(ends.0), as_listed(ends.1)];
-    table_says(|lines| {
-        let line = lines.iter().find(|words| words.get(1..3) == Some(&ends[..]));
-        holds(line.map(Vec::as_slice))
-    });
-}
-
-/// Returns once somebody is connecting to this address and has no answer.
-pub fn connecting(to: SocketAddr) {
-    let to = as_listed(to);
-    table_says(|lines| lines.iter().any(|line| line.get(2) == Some(&to) && line[3] == "02"));
-}
-
 /// A listener whose queue is full: further connections stay pending until what fills it has been accepted.
 pub fn full_listener() -> (TcpListener, SocketAddr, TcpStream) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
@@ -566,7 +527,7 @@
     pub fn left_by(&self, client: Line, leave: fn(Line)) {
         let (own, here) = client.ends();
         leave(client);
-        kernel_says((here, own), |line| line.is_none_or(|line| line[3] != "01"));
+        sockets::wait_for(here, own, |end| end.is_none_or(|end| !end.established()));
     }
 
     /// Gives it another configuration and has it read.
--- a/tests/node/workers.rs
+++ b/tests/node/workers.rs
@@ -1,6 +1,7 @@
 //! Attempts that are given up, and connections to workers that come up late: what reaches the worker after that.
 
 use crate::rig::*;
+use crate::sockets::connecting;
 use std::io::{ErrorKind, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
