A request's time runs from when its bytes came, not from when they are read

Need: servers were told more than the client's remaining time + 0.15 s. Cause: a process that gets no core, is stopped, or has its table of clients full reads a request late and counted its time from the reading. Change: the kernel is asked when a connection's last bytes came (sock_diag, by the connection's addresses, TCP_INFO's last_data_recv; monotonic; by way of netlink-sys and netlink-packet-sock-diag). 1.3 us a question, one for each read. Where the kernel does not tell, bytes count as just come. Tests: tests/node/stalls.rs, seen to fail before: 4.993 s told of 4.356 s left, an answer to d=700 after more than 1.2 s. The runs of tests/large_list.rs compare what servers are told with what clients have left; they failed before.

--- a/crates/standin/src/formula.rs
+++ b/crates/standin/src/formula.rs
@@ -70,12 +70,25 @@
     pub runs: HashMap<String, u32>,
     /// Keyed mixes that took effect, by key: how often. More than once is a mix booked twice.
     pub mixes: HashMap<String, u32>,
+    /// Commands begun, in their order.
+    pub arrivals: Vec<Arrival>,
     /// Units, by shop.
     pub units: HashMap<String, f64>,
     /// Commands that it could not read.
     pub syntax: u64,
 }
 
+/// A command that came.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Its id.
+    pub id: String,
+    /// When it was read.
+    pub at: Instant,
+    /// How long its sender waits for the answer, as the command tells.
+    pub wait: Option<Duration>,
+}
+
 /// A running formula server. Ends when dropped.
 pub struct Formula {
     /// Its name in discovery's list.
@@ -218,6 +231,8 @@
             let mut books = lock(&self.books);
             if options.ids {
                 *books.runs.entry(id.to_string()).or_default() += 1;
+                let wait = field("d").and_then(|d| d.parse().ok()).map(Duration::from_millis);
+                books.arrivals.push(Arrival { id: id.to_string(), at: Instant::now(), wait });
             }
             *books.units.entry(shop.to_string()).or_default() += units;
             if let Some(key) = field("k") {
--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -7,6 +7,7 @@
 use crate::ask::Ask;
 use crate::budget::Share;
 use crate::gateway::{Caller, Shared};
+use crate::receive_time::{ConnectionId, ReceiveTimes};
 use crate::resp::{self, Broken, Command};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -98,6 +99,8 @@
     room: Rc<Notify>,
     reading: Share,
     unread: Share,
+    receive_times: Rc<ReceiveTimes>,
+    connection_id: Option<ConnectionId>,
 }
 
 impl Caller for Client {
@@ -132,10 +135,17 @@
 
 impl Client {
     /// One that has just been accepted. `reading` and `unread` are its parts of what all connections may hold.
-    pub fn new(stream: TcpStream, reading: Share, unread: Share, room: Rc<Notify>) -> Client {
+    pub fn new(
+        stream: TcpStream,
+        reading: Share,
+        unread: Share,
+        room: Rc<Notify>,
+        receive_times: Rc<ReceiveTimes>,
+    ) -> Client {
         // Small answers must not wait for acknowledgements; a socket that fails here fails at its first read.
         let _ = stream.set_nodelay(true);
         Client {
+            connection_id: ConnectionId::of(&stream),
             stream,
             life: Cell::new(Life::Open),
             out: RefCell::default(),
@@ -144,6 +154,7 @@
             room,
             reading,
             unread,
+            receive_times,
         }
     }
 
@@ -300,6 +311,12 @@
         }
     }
 
+    /// When the last of the bytes that are read came, whether or not this process had a turn since.
+    fn last_received(&self) -> Instant {
+        let id = self.connection_id.as_ref();
+        id.map_or_else(Instant::now, |id| self.receive_times.last_received(id))
+    }
+
     /// Waits for the client's end, also behind bytes that are not read: nothing else of it is wanted now.
     async fn gone(&self) {
         // Of what a socket can be ready for, priority alone brings nothing but the end here.
@@ -353,12 +370,12 @@
                     if !self.read(&mut bytes)? {
                         return Ok(());
                     }
-                    (came, _) = (Instant::now(), self.life.set(Life::Open));
+                    (came, _) = (self.last_received(), self.life.set(Life::Open));
                     continue;
                 }
                 Life::Stopping if idle => {
                     if self.read(&mut bytes)? {
-                        came = Instant::now();
+                        came = self.last_received();
                         continue;
                     }
                     if bytes.is_empty() {
@@ -368,7 +385,7 @@
                 Life::Declining if idle => {
                     self.life.set(Life::Closing);
                     if self.read(&mut bytes)? {
-                        came = Instant::now();
+                        came = self.last_received();
                         continue;
                     }
                     return Ok(());
@@ -384,7 +401,7 @@
                         return Err(());
                     }
                     if self.read(&mut bytes)? {
-                        came = Instant::now();
+                        came = self.last_received();
                     }
                 }
                 () = self.gone(), if !reads => return Err(()),
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -3,6 +3,7 @@
 use crate::budget::Budget;
 use crate::client::{Client, Life};
 use crate::gateway::Shared;
+use crate::receive_time::ReceiveTimes;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
@@ -36,6 +37,7 @@
     room: Rc<Notify>,
     reading: Budget,
     unread: Budget,
+    receive_times: Rc<ReceiveTimes>,
 }
 
 impl Clients {
@@ -44,7 +46,8 @@
     pub fn new(most: usize, memory: usize) -> Rc<Clients> {
         let (reading, unread) = (Budget::new(memory), Budget::new(memory));
         let begins = Cell::new(Life::Open);
-        Rc::new(Clients { all: RefCell::default(), most, begins, room: Rc::default(), reading, unread })
+        let (room, receive_times) = (Rc::default(), Rc::new(ReceiveTimes::open()));
+        Rc::new(Clients { all: RefCell::default(), most, begins, room, reading, unread, receive_times })
     }
 
     /// The task that ends connections whose time is up.
@@ -151,8 +154,13 @@
     }
 
     fn admit(self: &Rc<Self>, stream: TcpStream, gateway: &Shared) {
-        let client =
-            Rc::new(Client::new(stream, self.reading.share(), self.unread.share(), self.room.clone()));
+        let client = Rc::new(Client::new(
+            stream,
+            self.reading.share(),
+            self.unread.share(),
+            self.room.clone(),
+            self.receive_times.clone(),
+        ));
         client.to(self.begins.get());
         let number = gateway.borrow_mut().next_id();
         self.all.borrow_mut().insert(number, client.clone());
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -17,6 +17,7 @@
 mod link;
 mod metrics;
 mod peers;
+mod receive_time;
 mod resp;
 mod shutdown;
 mod usage;
--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rig::*;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -27,6 +27,8 @@
 const DEADLINE: Duration = Duration::from_millis(700);
 /// A final answer that comes later than this after its deadline is lost.
 const GRACE: Duration = Duration::from_millis(500);
+/// A server may be told so much more than the time that its client has left.
+const SLACK: Duration = Duration::from_millis(150);
 /// The pause between two requests of a client.
 const PACE: Duration = Duration::from_millis(50);
 
@@ -60,6 +62,32 @@
     }
 }
 
+/// When each request was sent, by id.
+#[derive(Default)]
+struct SendTimes(Mutex<HashMap<String, Instant>>);
+
+impl SendTimes {
+    /// Sends a request with an id of its own, and gives the id, and whether it is written.
+    fn send(&self, client: &mut Line) -> (String, std::io::Result<()>) {
+        static IDS: AtomicU64 = AtomicU64::new(1 << 32);
+        let id = format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst));
+        self.0.lock().expect("whole").insert(id.clone(), Instant::now());
+        let written = client.read.get_mut().write_all(&ask_as(&id, DEADLINE.as_millis() as u32));
+        (id, written)
+    }
+
+    /// The commands that told a server more than its client had left, and by how much.
+    fn told_too_much(&self, servers: &Servers) -> Vec<(String, Duration)> {
+        let sent = self.0.lock().expect("whole");
+        let arrivals = servers.all.iter().flat_map(|server| server.books().arrivals);
+        let excess = arrivals.filter_map(|arrival| {
+            let left = DEADLINE.saturating_sub(arrival.at.duration_since(*sent.get(&arrival.id)?));
+            Some((arrival.id, arrival.wait?.saturating_sub(left + SLACK)))
+        });
+        excess.filter(|(_, excess)| !excess.is_zero()).collect()
+    }
+}
+
 /// Servers that answer at once, each at an address of its own.
 struct Servers {
     all: Vec<Formula>,
@@ -113,9 +141,9 @@
 }
 
 /// The time from a request to its final answer; none where the connection ended without one.
-fn time_of_answer(client: &mut Line) -> Option<Duration> {
+fn time_of_answer(client: &mut Line, times: &SendTimes) -> Option<Duration> {
     let sent = Instant::now();
-    client.read.get_mut().write_all(&ask(DEADLINE.as_millis() as u32)).ok()?;
+    times.send(client).1.ok()?;
     let mut head = String::new();
     let read = client.read.read_line(&mut head).ok()?;
     if head.starts_with('$') {
@@ -125,12 +153,17 @@
 }
 
 /// A client that sends one request after the other until it is told to stop, and notes each in the phase that stands then.
-fn client_of(at: SocketAddr, phase: Arc<Mutex<Arc<Seen>>>, stop: Arc<AtomicBool>) -> JoinHandle<()> {
+fn client_of(
+    at: SocketAddr,
+    phase: Arc<Mutex<Arc<Seen>>>,
+    times: Arc<SendTimes>,
+    stop: Arc<AtomicBool>,
+) -> JoinHandle<()> {
     thread::spawn(move || {
         let mut client = Line::of(connect_early(at));
         while !stop.load(Ordering::SeqCst) {
             let seen = phase.lock().expect("whole").clone();
-            let took = time_of_answer(&mut client);
+            let took = time_of_answer(&mut client, &times);
             seen.note(took);
             if took.is_none() {
                 client = Line::of(connect_early(at));
@@ -153,11 +186,12 @@
     let phase = Arc::new(Mutex::new(Arc::new(Seen::default())));
     let next_phase = || std::mem::take(&mut *phase.lock().expect("whole"));
 
+    let times = Arc::new(SendTimes::default());
     let (mut nodes, mut clients) = (Vec::new(), Vec::new());
     for _ in 0..gatekeepers {
         let at = free_port();
         let config = setup.config().replace("127.0.0.1:0", &at.to_string());
-        clients.push(client_of(at, phase.clone(), stop.clone()));
+        clients.push(client_of(at, phase.clone(), times.clone(), stop.clone()));
         nodes.push((spawn(&config, &setup.shell), config));
     }
     let mut watches: Vec<TcpStream> = (0..gatekeepers).map(|_| discovery.watch()).collect();
@@ -185,6 +219,7 @@
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().expect("a client"));
     let (reached, twice) = servers.runs();
+    let told_too_much = times.told_too_much(&servers);
     let phases = [
         ("at the start", start.figures()),
         ("at a new whole list", whole.figures()),
@@ -194,11 +229,13 @@
         println!("{name}: {answered} answered, {lost} lost, the latest after {worst} ms");
     }
     println!("{reached} requests reached servers, {twice} of them twice");
+    println!("{} told their server too much: {told_too_much:?}", told_too_much.len());
     println!("the log of the first gatekeeper: {:#?}", nodes[0].0.log.lock().expect("whole"));
     for (name, [answered, lost, worst]) in phases {
         assert!(answered > 0, "{name}: nothing was answered");
         assert_eq!(lost, 0, "{name}: of {answered} the latest after {worst} ms");
     }
+    assert!(told_too_much.is_empty(), "servers were told more than clients had left: {told_too_much:?}");
     assert!(reached > 0 && twice == 0, "{reached} requests reached servers, {twice} of them twice");
 }
 
@@ -243,6 +280,7 @@
 /// What became of the requests of a seeded run: late ones, and those whose connection ended without an answer.
 #[derive(Default)]
 struct Outcomes {
+    times: SendTimes,
     answered: AtomicU64,
     late: Mutex<Vec<(String, Duration)>>,
     unanswered: Mutex<Vec<String>>,
@@ -250,7 +288,6 @@
 
 /// A client that sends one request after the other; where its connection ends it opens the next one.
 fn steady_client(at: SocketAddr, outcomes: Arc<Outcomes>, stop: Arc<AtomicBool>) -> JoinHandle<()> {
-    static IDS: AtomicU64 = AtomicU64::new(1 << 32);
     thread::spawn(move || {
         let mut client: Option<Line> = None;
         while !stop.load(Ordering::SeqCst) {
@@ -260,9 +297,8 @@
                 thread::sleep(Duration::from_millis(1));
                 continue;
             };
-            let id = format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst));
             let sent = Instant::now();
-            let written = line.read.get_mut().write_all(&ask_as(&id, DEADLINE.as_millis() as u32));
+            let (id, written) = outcomes.times.send(line);
             let mut answer = String::new();
             let read = written.and_then(|()| line.read.read_line(&mut answer)).unwrap_or(0);
             if answer.starts_with('$') {
@@ -366,6 +402,8 @@
     let logs: Vec<_> = nodes.iter().map(|node| node.node.log.lock().expect("whole").clone()).collect();
     assert!(answered > 0 && late.is_empty(), "seed {seed}: late {late:?}; events {events:?}; logs {logs:#?}");
     let lost = unanswered.iter().filter(|id| reached.contains(*id)).count();
+    let told_too_much = outcomes.times.told_too_much(servers);
+    assert!(told_too_much.is_empty(), "seed {seed}: {told_too_much:?}; events {events:?}");
     assert!(lost <= kills, "seed {seed}: {lost} of those that reached a server; events {events:?}");
 }
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod shutdown;
 mod sockets;
+mod stalls;
 mod start;
 mod workers;
 
