--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,9 @@
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
 mod checks;
+mod endpoints;
 mod lives;
+mod server_choice;
 mod sight;
 mod warm_up;
 
@@ -15,7 +17,6 @@
 use crate::estimate::{ALIKE_PEERS, Seen, View};
 use crate::hands::{Hands, Waits};
 use crate::live::*;
-use crate::lots::Lots;
 use crate::note::{Item, keeper_at, key_of};
 use crate::outs::Outs;
 use crate::post::Post;
@@ -30,8 +31,8 @@
 use crate::zones::Zones;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::HashSet;
-use warm_up::{Among, COLD_PART, Ramp};
+use server_choice::Want;
+use warm_up::Ramp;
 
 /// How many times the accepts may be sent on: with success under 1/K all but the minimum is refused.
 const K: f64 = 2.0;
@@ -74,22 +75,9 @@
 const RUMORS_PART: f64 = 0.25;
 /// Customers not seen for this long are forgotten: by then every bucket is full again.
 const IDLE_MS: f64 = 60_000.0;
-/// A request looks at so many servers with room at the least, at more where each gateway knows more.
-const LOOK: f64 = 2.0;
-/// However large the fleet: the best of so many is hardly worse than the best of all.
-const LOOK_MOST: f64 = 16.0;
-const DRAW_MOST: usize = 64;
 /// Further attempts earned by each request, and the most that are saved up.
 const RETRY_PART: f64 = 0.15;
 const RETRY_MOST: f64 = 10.0;
-/// After so many answers one of many gateways goes by how long they took.
-const LEARNED: f64 = 10.0;
-/// One of many gateways looks at servers to which it has no connection at rest for so many of its requests;
-/// connections last about so long.
-const NEW_PART: f64 = 0.1;
-const RESTS_MS: f64 = 10_000.0;
-/// How long a server without room rests, for each gateway, before one request looks again.
-const PEEK_MS: f64 = 250.0;
 /// Timers: of rumours, of notes, and from the next on of questions that wait.
 const RUMOR: u64 = 0;
 const TICK: u64 = 1;
@@ -123,15 +111,6 @@
     actions: Vec<Action>,
 }
 
-/// What server is wanted.
-#[derive(Clone, Copy)]
-struct Want<'a> {
-    class: usize,
-    most: f64,
-    group: Option<(Group, u32, u32)>,
-    avoid: Option<&'a Name>,
-}
-
 /// How many notes to all many gateways may send a second together: a part of what each takes in.
 fn rumor_rate(cfg: &Settings) -> f64 {
     if cfg.notes { RUMORS_PART * cfg.note_intake } else { 0.0 }
@@ -212,80 +191,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn on_servers(&mut self, listing: Listing, lines: Vec<Server>) {
-        if listing == Listing::Complete {
-            let named: HashSet<&Name> = lines.iter().map(|s| &s.name).collect();
-            let unnamed = self.servers.all_mut().filter(|(_, s)| !named.contains(&s.name));
-            let mut gone = Vec::new();
-            for (number, s) in unnamed {
-                s.health = Health::Gone;
-                gone.push(number);
-                self.rumors.listed(&s.name, false, false);
-            }
-            for number in gone {
-                self.close_to(number);
-                self.departed.push(number);
-            }
-        }
-        let (now, many) = (self.now, self.many());
-        for line in lines {
-            // Many gateways hear of a new server at once: each begins at a point of its own in the gap to
-            // its turn.
-            let phase = if many { self.rng.random::<f64>() } else { 0.0 };
-            let (number, s) = self.servers.entry(&line.name, || Live {
-                name: line.name.clone(),
-                since: line.since,
-                sent_at: now,
-                rested_at: f64::NEG_INFINITY,
-                phase,
-                kind: line.kind,
-                ..Live::default()
-            });
-            self.rumors.listed(&line.name, line.health == Health::Up, line.since > s.since);
-            if line.since > s.since {
-                // A new life: what was learned of the former one no longer holds.
-                (s.pace, s.usual, s.reported, s.fail, s.phase) = (None, 0.0, None, 0.0, phase);
-                s.rested_at = f64::NEG_INFINITY;
-            }
-            (s.zone, s.cell, s.size) = (line.zone, line.cell, line.size);
-            // A list that goes back in time makes nobody warm.
-            (s.health, s.since) = (line.health, line.since.max(s.since));
-            let since = s.since;
-            match line.health {
-                Health::Up => {
-                    self.servers.up(number, line.zone, line.cell);
-                    self.warming.insert(number, since);
-                }
-                Health::Draining => self.close_to(number),
-                Health::Gone => {
-                    self.close_to(number);
-                    self.departed.push(number);
-                }
-            }
-        }
-        self.forget_departed();
-    }
-
-    /// Nothing new is sent to a server.
-    fn close_to(&mut self, number: u32) {
-        self.servers.down(number);
-        self.warming.remove(number);
-    }
-
-    /// Forgets servers that are gone and have nothing out any more.
-    fn forget_departed(&mut self) {
-        let mut departed = std::mem::take(&mut self.departed);
-        departed.retain(|number| {
-            let Some(s) = self.servers.at(*number).filter(|s| s.health == Health::Gone) else { return false };
-            let stays = !s.out.is_empty();
-            if !stays {
-                self.servers.remove(*number);
-            }
-            stays
-        });
-        self.departed = departed;
-    }
-
     /// Words of notes to all that could not be read or named no listed server, so far. They change nothing.
     #[must_use]
     pub fn words_dropped(&self) -> u64 {
@@ -752,102 +657,6 @@
         false
     }
 
-    // ---- the choice of server ----
-
-    /// The server with the least expected time of some drawn by lot that have room: not foreseen to
-    /// take longer than `most`, in the given group, not the one to avoid. With few gateways each
-    /// knows every server and looks at all of them; with many, all would run after the same few.
-    fn choose(&mut self, want: Want) -> Option<Name> {
-        // A repeat that only some servers drop stays with these, whatever was decided on zones.
-        if matches!(want.group, None | Some((Group::All, ..))) {
-            let failed = want.avoid.and_then(|name| self.servers.get(name)).map(|s| s.zone);
-            if let Some(zones) = self.zones.order(self.now, failed, &mut self.rng) {
-                let kept = self.many() && want.group.is_none();
-                let at = |z: u32| Want { group: Some((Group::Zone, z, 0)), ..want };
-                return zones.into_iter().find_map(|z| self.choose_of(at(z), kept));
-            }
-        }
-        self.choose_of(want, self.many() && want.group.is_none())
-    }
-
-    fn choose_of(&mut self, want: Want, kept: bool) -> Option<Name> {
-        // Each of many meets a server seldom: a new connection each time would cost more than it gains. With
-        // a part of the others looked at beside, of a large fleet most of what was seen was new.
-        let kept = kept && self.rng.random::<f64>() >= NEW_PART;
-        // Of a warm fleet's cold servers each request may be one's by lot, and otherwise goes to none.
-        let dealt = self.deals_cold().then(|| self.best_of(want, Among::Cold)).flatten();
-        let at_rest = || kept.then_some(Among::AtRest);
-        dealt.or_else(|| self.best_of(want, at_rest()?)).or_else(|| self.best_of(want, Among::All))
-    }
-
-    /// The same, of some alone.
-    fn best_of(&mut self, want: Want, among: Among) -> Option<Name> {
-        let Want { class, most, group, avoid } = want;
-        let drawn = self.servers.of(group);
-        let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
-            .clamp(LOOK, LOOK_MOST)
-            .min(drawn.len() as f64);
-        // Of a large fleet no more are drawn than are likely to hold so many with room.
-        let mut lots = Lots::new(drawn.len(), DRAW_MOST, &mut self.rng);
-        let aim = self.cfg.classes[class].aim;
-        let many = self.many();
-        let view = View { fleet: &self.fleet, cfg: &self.cfg, servers: self.servers.len(), now: self.now };
-        let means = view.means();
-        let mut best: Option<(f64, u32)> = None;
-        let mut seen = 0.0;
-        while let Some(k) = lots.next(&mut self.rng) {
-            let number = drawn[k];
-            let Some(s) = self.servers.at(number).filter(|s| avoid != Some(&s.name)) else { continue };
-            let warmth = view.warmth(s);
-            let cold = warmth < 1.0;
-            // Were it chosen each time, a cold server would get its part of a warm one's share.
-            let part = match among {
-                Among::Cold => warmth / self.ramp.warmth,
-                _ if self.ramp.bears => 0.0,
-                _ => COLD_PART * warmth / if many { 1.0 } else { look },
-            };
-            if cold && self.rng.random::<f64>() >= part || !cold && among == Among::Cold {
-                continue;
-            }
-            let rests = s.out.is_empty() && s.rested_at > self.now - RESTS_MS;
-            // With a cold one nobody has a connection yet: it is looked at beside, by its part.
-            if among == Among::AtRest && !rests && !(cold && self.rng.random::<f64>() < NEW_PART) {
-                continue;
-            }
-            let ill = self.rumors.of(self.now, &s.name);
-            if ill > 0.0 && self.rng.random::<f64>() * (1.0 + ill * ill) >= 1.0 {
-                continue;
-            }
-            // Where it is most of the fleet, or fails in no time, neither its share nor a queue holds it.
-            let gap = warm_up::gap(view.pace(s), &self.cfg);
-            if cold && !self.ramp.bears && self.now - s.sent_at < gap * (1.0 - s.phase) {
-                continue;
-            }
-            // Drawn by its part already, among many it competes as a warm one would: as seldom sent to as
-            // it has room.
-            let time = view.foreseen(s, class, means) * if many { warmth } else { 1.0 };
-            // Where nothing of ours is out or has lately gone there is room for one: else nothing more
-            // would be learned. All gateways do so, hence the gap grows with their number.
-            let quiet = s.out.is_empty() && self.now - s.sent_at > PEEK_MS * f64::from(self.cfg.gateways);
-            // What the first answers took says little, and where nothing is sent for it nothing more is
-            // learned.
-            let learning = many && self.fleet.answers < LEARNED;
-            if time > most && !((quiet || learning) && avoid.is_none()) {
-                continue;
-            }
-            let cross = if s.zone == self.cfg.zone { 1.0 } else { 1.05 };
-            let cost = (time * cross + view.failing(s) * aim) * (1.0 + 0.1 * self.rng.random::<f64>());
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, number));
-            }
-            seen += 1.0;
-            if seen >= look {
-                break;
-            }
-        }
-        best.and_then(|(_, number)| self.servers.at(number)).map(|s| s.name.clone())
-    }
-
     fn send(&mut self, id: u64, server: Name) {
         let Some(s) = self.servers.get(&server) else { return };
         let (view, class) = (self.view(), self.held.get(id).map_or(0, |h| h.job.request.class));
