--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -63,6 +64,7 @@
     /// Where it listens.
     pub at: SocketAddr,
     list: Arc<watch::Sender<List>>,
+    list_bytes: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -81,13 +83,14 @@
         let listener = TcpListener::bind((ip, 0)).await?;
         let at = listener.local_addr()?;
         let list = Arc::new(watch::Sender::new(List::default()));
-        let lists = list.clone();
+        let list_bytes = Arc::new(AtomicU64::new(0));
+        let (lists, bytes) = (list.clone(), list_bytes.clone());
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(talk(stream, lists.subscribe()));
+                tokio::spawn(talk(stream, lists.subscribe(), bytes.clone()));
             }
         });
-        Ok(Discovery { at, list, task })
+        Ok(Discovery { at, list, list_bytes, task })
     }
 
     /// Lists a server, or lists it anew.
@@ -100,6 +103,31 @@
         self.change(uid, None);
     }
 
+    /// Lists servers, or lists them anew, all in one version.
+    pub fn set_all(&self, targets: Vec<(String, Target)>) {
+        self.list.send_modify(|list| {
+            list.rev += 1;
+            for (uid, target) in targets {
+                list.targets.insert(uid, (list.rev, Some(target)));
+            }
+        });
+    }
+
+    /// The servers that are listed.
+    #[must_use]
+    pub fn targets(&self) -> Vec<(String, Target)> {
+        let list = self.list.borrow();
+        let listed =
+            list.targets.iter().filter_map(|(uid, (_, target))| Some((uid.clone(), target.clone()?)));
+        listed.collect()
+    }
+
+    /// Bytes of lists and changes that were written so far.
+    #[must_use]
+    pub fn list_bytes(&self) -> u64 {
+        self.list_bytes.load(Ordering::Relaxed)
+    }
+
     fn change(&self, uid: &str, target: Option<Target>) {
         self.list.send_modify(|list| {
             list.rev += 1;
@@ -113,7 +141,7 @@
     }
 }
 
-async fn talk(stream: TcpStream, mut lists: watch::Receiver<List>) {
+async fn talk(stream: TcpStream, mut lists: watch::Receiver<List>, list_bytes: Arc<AtomicU64>) {
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::new(read);
     while let Ok(Some((_, target))) = http::request(&mut read).await {
@@ -122,6 +150,7 @@
         }
         let Some((_, query)) = target.split_once('?') else {
             let body = lists.borrow().json(None);
+            list_bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
             if write.write_all(http::response(200, &body).as_bytes()).await.is_err() {
                 return;
             }
@@ -142,6 +171,7 @@
                 known = list.rev;
                 text
             };
+            list_bytes.fetch_add(text.len() as u64, Ordering::Relaxed);
             let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
             if write.write_all(chunk.as_bytes()).await.is_err() {
                 return;
--- a/crates/standin/src/formula.rs
+++ b/crates/standin/src/formula.rs
@@ -118,6 +118,7 @@
     cores: Semaphore,
     waiting: AtomicU64,
     served: AtomicU64,
+    connections: AtomicU64,
     begun: Instant,
     cold: bool,
     count: AtomicU64,
@@ -150,6 +151,7 @@
             keys: rack,
             waiting: AtomicU64::new(0),
             served: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
             begun: Instant::now(),
             cold,
             count: AtomicU64::new(0),
@@ -159,6 +161,7 @@
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let state = state.clone();
+                state.connections.fetch_add(1, Ordering::Relaxed);
                 let conn = tokio::spawn(async move {
                     let mut conn = Conn::of(stream);
                     while let Ok(Some(parts)) = conn.command().await {
@@ -194,6 +197,12 @@
         (self.state.waiting.load(Ordering::Relaxed), self.state.served.load(Ordering::Relaxed))
     }
 
+    /// Connections that it has accepted so far.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.state.connections.load(Ordering::Relaxed)
+    }
+
     /// Ends it as a killed process does: connections break, new ones are refused.
     pub fn kill(&self) {
         self.task.abort();
