A gateway finds its connections at rest however large the fleet

Cause: of many gateways each draws 64 of all servers and looks for one with a connection at rest; of 3,200 often none came. Few gateways did not look for one at all. Change: the roster keeps the servers with a connection at rest; where none came among the drawn ones, these are drawn from. Few gateways keep to their connections too where there are more servers than one request draws. O(1) a change. Tests: one_of_many_keeps_to_its_connections_however_large_the_fleet at 3,200 servers (175 new for 500 requests before, 75 at the most now) and one_of_few_keeps_to_its_connections_before_a_large_fleet (493 before), both seen to fail.

--- a/src/control.rs
+++ b/src/control.rs
@@ -664,6 +664,7 @@
         let (load, expected) = (view.load(s, means), view.foreseen(s, class, means));
         (self.fleet.usual, self.fleet.usual_at) = (usual, self.now);
         self.fleet.in_flight += 1;
+        self.takes_connection(&server);
         let (Some(s), Some(h)) = (self.servers.get_mut(&server), self.held.get_mut(id)) else { return };
         s.average(self.now);
         s.out.insert(id, self.now);
@@ -730,6 +731,7 @@
             self.zones.ended(self.now, (s.zone, class, warmth), o, times);
             self.fleet.learn(s, &Seen { now, ending, latency, class, load, pace, warmth, roomy });
         }
+        self.leaves_connection(&o.server);
         self.tell(key, keeper, plan, o.units.map_or(0.0, |all| all - units), None);
         let Some(h) = self.held.get(o.id) else { return };
         if h.ended {
--- a/src/control/warm_up.rs
+++ b/src/control/warm_up.rs
@@ -23,8 +23,10 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Among {
     All,
-    /// Those with a connection at rest.
+    /// Those with a connection at rest, as they come among all.
     AtRest,
+    /// Those with a connection at rest, and no others: where they are so few that none came.
+    AtRestAlone,
     /// Cold ones, where a request was dealt to them.
     Cold,
 }
--- a/src/live.rs
+++ b/src/live.rs
@@ -31,6 +31,15 @@
 }
 
 impl Live {
+    /// Whether it belongs to a group; all do where none is given.
+    pub fn is_of(&self, group: Option<(Group, u32, u32)>) -> bool {
+        match group {
+            Some((Group::Zone, zone, _)) => self.zone == zone,
+            Some((Group::Cell, _, cell)) => self.cell == cell,
+            _ => true,
+        }
+    }
+
     /// Keeps the mean number of this gateway's requests here over time. Called before it changes.
     pub fn average(&mut self, now: f64) {
         self.usual = self.usual_now(now);
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -38,6 +38,8 @@
     all: Numbered,
     zones: BTreeMap<u32, Numbered>,
     cells: BTreeMap<u32, Numbered>,
+    /// Those that are up and have a connection of ours at rest, as far as is known.
+    at_rest: Numbered,
     /// Where each of those that are up stands: zone and cell.
     where_at: HashMap<u32, (u32, u32)>,
 }
@@ -107,6 +109,7 @@
     pub fn down(&mut self, number: u32) {
         let Some((zone, cell)) = self.where_at.remove(&number) else { return };
         self.all.remove(number);
+        self.at_rest.remove(number);
         for (groups, at) in [(&mut self.zones, zone), (&mut self.cells, cell)] {
             if let Some(group) = groups.get_mut(&at) {
                 group.remove(number);
@@ -117,6 +120,23 @@
         }
     }
 
+    /// A connection to a server rests, if the server is up.
+    pub fn rests(&mut self, number: u32) {
+        if self.where_at.contains_key(&number) {
+            self.at_rest.insert(number);
+        }
+    }
+
+    /// No connection to a server rests any more.
+    pub fn rests_no_more(&mut self, number: u32) {
+        self.at_rest.remove(number);
+    }
+
+    /// Servers with a connection at rest.
+    pub fn at_rest(&self) -> &[u32] {
+        &self.at_rest.members
+    }
+
     /// The candidates of a group, or all of them.
     pub fn of(&self, group: Option<(Group, u32, u32)>) -> &[u32] {
         let group = match group {
--- a/src/roster/tests.rs
+++ b/src/roster/tests.rs
@@ -1,12 +1,14 @@
 use super::*;
 use proptest::prelude::*;
+use std::collections::BTreeSet;
 
 proptest! {
     /// Whatever comes, goes and moves, each group holds just its own, once, and a number means one server.
     #[test]
-    fn each_group_holds_its_own(events in prop::collection::vec((0u8..20, 0u32..3, 0u32..4, 0u8..3), 0..200)) {
+    fn each_group_holds_its_own(events in prop::collection::vec((0u8..20, 0u32..3, 0u32..4, 0u8..5), 0..200)) {
         let (mut roster, mut model) = (Roster::default(), BTreeMap::new());
         let mut known: BTreeMap<Name, u32> = BTreeMap::new();
+        let mut at_rest: BTreeSet<Name> = BTreeSet::new();
         for (k, zone, cell, what) in events {
             let name: Name = format!("s{k}").as_str().into();
             let (number, _) = roster.entry(&name, || Live { name: name.clone(), ..Live::default() });
@@ -14,17 +16,31 @@
             match what {
                 0 => {
                     roster.up(number, zone, cell);
-                    model.insert(name, (zone, cell));
+                    if model.insert(name.clone(), (zone, cell)) != Some((zone, cell)) {
+                        at_rest.remove(&name);
+                    }
                 }
                 1 => {
                     roster.down(number);
                     model.remove(&name);
+                    at_rest.remove(&name);
+                }
+                2 => {
+                    roster.rests(number);
+                    if model.contains_key(&name) {
+                        at_rest.insert(name);
+                    }
+                }
+                3 => {
+                    roster.rests_no_more(number);
+                    at_rest.remove(&name);
                 }
                 _ => {
                     if let Some(number) = roster.number(&name) {
                         roster.remove(number);
                     }
                     model.remove(&name);
+                    at_rest.remove(&name);
                     known.remove(&name);
                 }
             }
@@ -41,6 +57,7 @@
             model.iter().filter(|(_, at)| so(at)).map(|(name, _)| name.clone()).collect()
         };
         prop_assert_eq!(sorted(roster.of(None)), of(&|_| true));
+        prop_assert_eq!(sorted(roster.at_rest()), at_rest.into_iter().collect::<Vec<_>>());
         for k in 0..4 {
             prop_assert_eq!(sorted(roster.of(Some((Group::Zone, k, 9)))), of(&|at| at.0 == k));
             prop_assert_eq!(sorted(roster.of(Some((Group::Cell, 9, k)))), of(&|at| at.1 == k));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1319,26 +1319,35 @@
     assert!((10..=130).contains(&fresh), "{fresh} new connections for 300 requests");
 }
 
+/// New connections of one gateway, of so many, before so many servers: for 500 requests, ten a second, after the first 100.
+fn new_connections(gateways: u32, servers: u32) -> u32 {
+    let mut g = large(gateways, servers, false).remove(7);
+    let (mut known, mut fresh) = (BTreeMap::new(), 0);
+    for id in 0..600u64 {
+        let now = 1000.0 + 100.0 * id as f64;
+        let server = sent(&g.handle(now, alone(7, id, now))).expect("sent");
+        let rested = known.insert(server.clone(), now);
+        fresh += u32::from(id >= 100 && rested.is_none_or(|at| now - at > 10_000.0));
+        g.handle(now + 40.0, end(id, &server, Ending::Ok, 40.0));
+    }
+    fresh
+}
+
 /// Before 180 servers most of what was looked at beside those with a connection at rest was new, and so was a third of what
 /// was taken: handshakes at servers whose connections are scarce.
 #[test]
 fn one_of_many_keeps_to_its_connections_however_large_the_fleet() {
-    let mut fresh = [0, 0];
-    for (k, servers) in [60, 180].into_iter().enumerate() {
-        let mut g = large(300, servers, false).remove(7);
-        let mut known = BTreeMap::new();
-        for id in 0..600u64 {
-            let now = 1000.0 + 100.0 * id as f64;
-            let server = sent(&g.handle(now, alone(7, id, now))).expect("sent");
-            let rested = known.insert(server.clone(), now);
-            fresh[k] += u32::from(id >= 100 && rested.is_none_or(|at| now - at > 10_000.0));
-            g.handle(now + 40.0, end(id, &server, Ending::Ok, 40.0));
-        }
-    }
+    let fresh = [60, 180, 3200].map(|servers| new_connections(300, servers));
     // One in ten looks at all, and finds some of its own there.
     assert!(fresh.iter().all(|n| (10..=75).contains(n)), "{fresh:?} new connections for 500 requests");
 }
 
+#[test]
+fn one_of_few_keeps_to_its_connections_before_a_large_fleet() {
+    let fresh = new_connections(8, 3200);
+    assert!((10..=75).contains(&fresh), "{fresh} new connections for 500 requests");
+}
+
 /// All there is is replaced at once, and every gateway hears of it in the same instant.
 #[test]
 fn many_gateways_before_a_fleet_that_is_all_cold_neither_rush_nor_stay_away() {
