--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -3,6 +3,7 @@
 
 mod endpoints;
 mod in_flight;
+mod last_list;
 mod outside;
 mod parties;
 mod record;
@@ -21,6 +22,7 @@
 use frostvale::*;
 use frostvale_outside::{Consult, Verdict};
 use in_flight::{Attempt, Clock, InFlight};
+use last_list::LastList;
 pub use parties::{Agents, Asker, Caller};
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -95,6 +97,7 @@
     held_at_start: Option<starting::Held>,
     /// Endpoint updates are applied one at a time.
     update_turns: Rc<Mutex<()>>,
+    last_list: LastList,
     ear: Rc<dyn Ear>,
     /// Checks that wait for their verdict, with their askers' tags.
     checks: HashMap<u64, (u64, Rc<dyn Asker>)>,
@@ -139,6 +142,7 @@
                 workers: Workers::new(connections, memory),
                 held_at_start: Some(starting::Held::default()),
                 update_turns: Rc::default(),
+                last_list: LastList::default(),
                 ear: Rc::new(Heard(me.clone())),
                 checks: HashMap::new(),
                 agents: None,
--- a/src/bin/frostvale/gateway/endpoints.rs
+++ b/src/bin/frostvale/gateway/endpoints.rs
@@ -4,6 +4,7 @@
 //! else is due. Only what differs is kept, and takes effect in one go: decisions see one whole version. An update of n
 //! lines of which k differ costs O(n) to read and O(k) to apply.
 
+use super::last_list::Digest;
 use super::{Gateway, Shared};
 use crate::endpoint_update::{EndpointLine, Outline, UpdateError};
 use crate::metrics::ListApplied;
@@ -68,6 +69,11 @@
 pub async fn apply_update(gateway: &Shared, text: &[u8]) -> Result<u64, UpdateError> {
     let turns = gateway.borrow().update_turns.clone();
     let _turn = turns.lock().await;
+    let digester = gateway.borrow().last_list.digester();
+    let digest = digester.digest(text).await;
+    if let Some(version) = gateway.borrow_mut().recognise_list(digest) {
+        return Ok(version);
+    }
     let mut longest_step = Duration::ZERO;
     let mut began = Instant::now();
     let outline = read_outline(gateway, text)?;
@@ -84,7 +90,7 @@
     began = Instant::now();
     let mut applied = gateway.borrow_mut().apply(update);
     applied.longest_step = longest_step.max(began.elapsed());
-    gateway.borrow_mut().list_applied(&applied, &outline, text.len());
+    gateway.borrow_mut().list_applied(&applied, &outline, digest, text.len());
     Ok(outline.version)
 }
 
@@ -96,7 +102,10 @@
     let outline = read_outline(gateway, text)?;
     let mut update = PendingUpdate::new(&outline);
     while update.step(&gateway.borrow()) {}
-    let applied = gateway.borrow_mut().apply(update);
+    let mut gateway = gateway.borrow_mut();
+    let applied = gateway.apply(update);
+    let digest = gateway.last_list.digester().digest_at_once(text);
+    gateway.remember_list(&applied, outline.version, digest);
     applied.log(outline.version, text.len());
     Ok(())
 }
@@ -106,7 +115,32 @@
 }
 
 impl Gateway {
-    fn list_applied(&mut self, applied: &ListApplied, outline: &Outline, bytes: usize) {
+    /// The version of a list that is in effect already, which nothing is to be done for.
+    fn recognise_list(&mut self, digest: Option<Digest>) -> Option<u64> {
+        let version = self.last_list.version_of(digest)?;
+        tracing::debug!(version, "this whole endpoint list is in effect already");
+        self.metrics.list_unchanged();
+        self.news.notify_one();
+        Some(version)
+    }
+
+    /// Remembers a whole list, until something else changes.
+    fn remember_list(&mut self, applied: &ListApplied, version: u64, digest: Option<Digest>) {
+        if applied.whole {
+            self.last_list.whole(digest, version);
+        } else if applied.changed > 0 {
+            self.last_list.changed();
+        }
+    }
+
+    fn list_applied(
+        &mut self,
+        applied: &ListApplied,
+        outline: &Outline,
+        digest: Option<Digest>,
+        bytes: usize,
+    ) {
+        self.remember_list(applied, outline.version, digest);
         applied.log(outline.version, bytes);
         self.metrics.list_applied(applied);
         self.news.notify_one();
--- a/src/bin/frostvale/metrics.rs
+++ b/src/bin/frostvale/metrics.rs
@@ -15,6 +15,8 @@
     lists_whole: u64,
     lists_changes: u64,
     lists_refused: u64,
+    /// Whole lists that were in effect already.
+    lists_unchanged: u64,
     /// Endpoints that lists changed, and lines of lists that could not be read.
     endpoints_changed: u64,
     lines_refused: u64,
@@ -73,6 +75,11 @@
         self.list_step_worst_us = self.list_step_worst_us.max(list.longest_step.as_micros() as u64);
     }
 
+    /// A whole endpoint list was in effect already.
+    pub fn list_unchanged(&mut self) {
+        self.lists_unchanged += 1;
+    }
+
     /// An endpoint list could not be read.
     pub fn list_refused(&mut self) {
         self.lists_refused += 1;
@@ -114,6 +121,7 @@
             lists_whole = self.lists_whole,
             lists_changes = self.lists_changes,
             lists_refused = self.lists_refused,
+            lists_unchanged = self.lists_unchanged,
             endpoints_changed = self.endpoints_changed,
             lines_refused = self.lines_refused,
             list_step_worst_us = self.list_step_worst_us,
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::rig::*;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -161,6 +161,45 @@
     serving(&mut node);
 }
 
+/// Of a large list: it is recognised as long as nothing else has been told since.
+#[test]
+fn a_whole_list_that_comes_again_is_in_effect_whatever_was_told_in_between() {
+    let (a, b) = (Door::open(), Door::open());
+    let others =
+        (0..200).map(|k| target(&format!("o-{k}"), SocketAddr::from(([127, 0, 0, 1], 1)), "draining", k));
+    let both = [target("s-1", a.at, "ready", 0), target("s-2", b.at, "draining", 0)];
+    let whole = list(1, true, &others.chain(both).collect::<Vec<_>>());
+    let (discovery, mut node, watch) = by_hand(&whole);
+    serving(&mut node);
+    let again = |watch: Line| {
+        drop(watch);
+        let mut line = discovery.next();
+        line.call();
+        line.give(&whole);
+        assert!(line.call().contains("index=1"));
+        line.open_watch();
+        line
+    };
+    let mut watch = again(watch);
+    goes_to(&node, &a);
+    let swapped = [target("s-1", a.at, "draining", 0), target("s-2", b.at, "ready", 0)];
+    push(watch.read.get_mut(), &list(2, false, &swapped));
+    push(watch.read.get_mut(), "{nonsense");
+    let watch = {
+        let mut line = discovery.next();
+        goes_to(&node, &b);
+        line.call();
+        line.give(&whole);
+        line.call();
+        line.open_watch();
+        line
+    };
+    goes_to(&node, &a);
+    node.signal("-TERM");
+    assert!(node.says("counts since the start").contains("lists_unchanged=1"));
+    drop(watch);
+}
+
 /// A list in pieces and indented, as a watch and as a whole.
 #[test]
 fn lists_in_pieces_and_indented_are_read() {
