Seeded runs end with a list that leaves out half of the servers, which then get nothing

Need: the seeded runs around large lists did not see an update that is lost or undone by an older one. Change: the last list goes out by watches, by calls or by both; 6 s later, and the drain's grace, nothing may reach a server that it leaves out.

--- a/tests/large_list.rs
+++ b/tests/large_list.rs
@@ -245,6 +245,11 @@
 const SEEDS: std::ops::Range<u64> = 1..4;
 /// The pause between two events of a seeded run.
 const EVENT_PAUSE: Duration = Duration::from_millis(150);
+/// A change is in effect everywhere so long after discovery had it, and a server that is left out gets nothing more.
+const TOLD: Duration = Duration::from_secs(6);
+const DRAIN_GRACE: Duration = Duration::from_millis(300);
+/// How long clients go on after that.
+const AFTER_TOLD: Duration = Duration::from_secs(1);
 /// How long a gatekeeper may be held up.
 const HELD_UP: Duration = Duration::from_millis(150);
 
@@ -341,6 +346,30 @@
     watches.retain(|_| open.next().unwrap_or(false));
 }
 
+/// Has all gatekeepers told of this list, by watches, by calls or by both, and gives when that counts as done.
+fn tell_last(
+    discovery: &Discovery,
+    watches: &mut Vec<TcpStream>,
+    whole: &str,
+    rng: &mut Pcg64Mcg,
+) -> Instant {
+    discovery.set(whole);
+    let had = Instant::now();
+    if rng.random::<bool>() {
+        push_all(watches, "{nonsense");
+    }
+    let mut told = Vec::new();
+    while had.elapsed() < TOLD {
+        push_all(watches, whole);
+        told.append(watches);
+        // Those that are opened meanwhile say what has changed too.
+        thread::sleep(EVENT_PAUSE);
+        watches.extend(discovery.watches.try_iter());
+    }
+    watches.append(&mut told);
+    Instant::now()
+}
+
 /// One run: lists, broken watches, reloads, pauses and restarts by lot, under clients.
 fn seeded_run(seed: u64, servers: &Servers) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -391,8 +420,14 @@
         }
         thread::sleep(EVENT_PAUSE);
     }
+    let kept = &targets[..targets.len() / 2];
+    let told = tell_last(&discovery, &mut watches, &list(version + 1, true, kept), &mut rng);
+    thread::sleep(AFTER_TOLD);
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().expect("a client"));
+    let left_out = servers.all[kept.len()..].iter().flat_map(|server| server.books().arrivals);
+    let strays = left_out.filter(|arrival| arrival.at > told + DRAIN_GRACE).count();
+    assert_eq!(strays, 0, "seed {seed}: sent to servers that are not listed any more; events {events:?}");
     let reached: HashSet<String> = servers.all.iter().flat_map(|s| s.books().runs.into_keys()).collect();
     let answered = outcomes.answered.load(Ordering::SeqCst);
     let late = std::mem::take(&mut *outcomes.late.lock().expect("whole"));
