A keyed request's repeat stays in its group when its server is not listed any more

What callers saw: a mix that could be booked twice. A whole list that leaves a server out reaches the module as a line with its name alone; the module took the line's empty zone and cell for the server's. The attempt that was out there ended in a reset, and its repeat went to the group that the empty cell names. Trace: attempt 0 to s-, list 2 without it applied at 5.752 s, reset at 6.600 s, attempt 1 to s- of another cell. Change: a server that is gone keeps its group and size; an attempt's group is that of its server when it was sent. Tests: a_keyed_request_stays_in_its_group_after_its_server_is_gone, and over sockets a_keyed_request_whose_server_is_not_listed_any_more_stays_in_its_group; both seen to fail before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -466,7 +466,15 @@
             c.ceiling.take(if covered { 0.0 } else { units });
             c.open += 1;
         }
-        let held = Held { job, attempts: 0, ended: false, sent_at: self.now, load: 0.0, may_run: None };
+        let held = Held {
+            job,
+            attempts: 0,
+            ended: false,
+            sent_at: self.now,
+            sent_to: (0, 0),
+            load: 0.0,
+            may_run: None,
+        };
         self.held.insert(held);
         self.send(id, server);
     }
@@ -672,6 +680,7 @@
         self.zones.sent(s.zone);
         h.attempts += 1;
         h.sent_at = self.now;
+        h.sent_to = (s.zone, s.cell);
         h.load = load;
         self.rumors.sent(self.now, id, &server, expected);
         let class = &self.cfg.classes[h.job.request.class];
@@ -717,7 +726,7 @@
             s.out.remove(&o.id);
             self.fleet.in_flight = self.fleet.in_flight.saturating_sub(1);
             if ran && h.may_run.is_none() {
-                h.may_run = Some((s.zone, s.cell, h.sent_at));
+                h.may_run = Some((h.sent_to.0, h.sent_to.1, h.sent_at));
             }
             // How busy cores were a while back says less than the count of one that sends a good part of
             // it all.
--- a/src/control/endpoints.rs
+++ b/src/control/endpoints.rs
@@ -43,7 +43,10 @@
                 (s.pace, s.usual, s.reported, s.fail, s.phase) = (None, 0.0, None, 0.0, phase);
                 s.rested_at = f64::NEG_INFINITY;
             }
-            (s.zone, s.cell, s.size) = (line.zone, line.cell, line.size);
+            // Of one that is gone the line has the name alone, and repeats of what is out there stay in its group.
+            if line.health != Health::Gone {
+                (s.zone, s.cell, s.size) = (line.zone, line.cell, line.size);
+            }
             // A list that goes back in time makes nobody warm.
             (s.health, s.since) = (line.health, line.since.max(s.since));
             let since = s.since;
--- a/src/live.rs
+++ b/src/live.rs
@@ -58,6 +58,8 @@
     pub attempts: u32,
     pub ended: bool,
     pub sent_at: f64,
+    /// The zone and cell of the last attempt's server, as it was sent.
+    pub sent_to: (u32, u32),
     pub load: f64,
     /// The zone and cell of the first attempt that may have run, and when it was sent.
     pub may_run: Option<(u32, u32, f64)>,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -645,6 +645,22 @@
     assert!(failed(&g.handle(10.0, end(1, &server, Ending::Error, 10.0))), "the window has passed");
 }
 
+#[test]
+fn a_keyed_request_stays_in_its_group_after_its_server_is_gone() {
+    for seed in 0..40u64 {
+        let mut g = Control::new(settings(), seed).expect("sound");
+        let servers = vec![line("a", 0), line("b", 0), line("c", 1), line("d", 1)];
+        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        let server = sent(&g.handle(0.0, ask(1, 2, 0, 0.0))).expect("sent");
+        let second = server == "c" || server == "d";
+        // Nothing but its name is known of a server that is not listed any more.
+        let gone = Server { health: Health::Gone, ..line(&server, u32::from(!second)) };
+        g.handle(5.0, Event::Servers { listing: Listing::Changes, servers: vec![gone] });
+        let next = sent(&g.handle(10.0, end(1, &server, Ending::Reset, 10.0))).expect("a second attempt");
+        assert_eq!(second, next == "c" || next == "d", "{server}, then {next}");
+    }
+}
+
 #[test]
 fn nothing_new_goes_to_a_draining_or_missing_server() {
     let mut g = gateway(settings());
--- a/tests/node/workers.rs
+++ b/tests/node/workers.rs
@@ -248,3 +248,23 @@
         drop(filler);
     }
 }
+
+#[test]
+fn a_keyed_request_whose_server_is_not_listed_any_more_stays_in_its_group() {
+    let (a, b) = (Door::open(), Door::open());
+    let in_cell = |uid, at: &Door, cell| {
+        target(uid, at.at, "ready", 0).replace(r#""pod_group":0"#, &format!(r#""pod_group":{cell}"#))
+    };
+    let discovery = Discovery::with(list(1, true, &[in_cell("s-1", &a, 3)]));
+    let node = Setup::new(discovery.at).start();
+    let watch = discovery.watch();
+    let mut client = node.client();
+    client.say(order("order", 3000));
+    let mut line = a.next();
+    line.command();
+    let other = list(2, true, &[in_cell("s-2", &b, 0)]);
+    let _watch = discovery.tell(watch, &other, &other);
+    line.reset();
+    assert!(client.answer().starts_with('-'));
+    assert!(b.nobody(), "a repeat outside its group");
+}
