Waits for a core count into a request's time where the kernel tells no more

Change: each time the event loop wakes, the kernel's account of its thread is read (schedstat, about 1 us); what was waited for a core since the turn before is the age of what is read, where sock_diag gives none.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -4,10 +4,12 @@
 use crate::client::{Client, Life};
 use crate::gateway::Shared;
 use crate::receive_time::ReceiveTimes;
+use crate::run_queue::RunQueue;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
@@ -43,10 +45,10 @@
 impl Clients {
     /// `memory` bounds what all connections together have read of commands not whole yet, and as much again
     /// what of answers they do not take.
-    pub fn new(most: usize, memory: usize) -> Rc<Clients> {
+    pub fn new(most: usize, memory: usize, run_queue: Arc<RunQueue>) -> Rc<Clients> {
         let (reading, unread) = (Budget::new(memory), Budget::new(memory));
         let begins = Cell::new(Life::Open);
-        let (room, receive_times) = (Rc::default(), Rc::new(ReceiveTimes::open()));
+        let (room, receive_times) = (Rc::default(), Rc::new(ReceiveTimes::open(run_queue)));
         Rc::new(Clients { all: RefCell::default(), most, begins, room, reading, unread, receive_times })
     }
 
--- a/src/bin/frostvale/event_loop.rs
+++ b/src/bin/frostvale/event_loop.rs
@@ -18,20 +18,24 @@
 
 /// What the kernel says of this thread's time, since it started.
 #[derive(Clone, Copy, Default)]
-struct ThreadTime {
-    running_ns: u64,
-    waiting_ns: u64,
+pub struct ThreadTime {
+    /// On a core.
+    pub running_ns: u64,
+    /// Ready to run, and not on a core.
+    pub waiting_ns: u64,
 }
 
 /// The kernel's account of this thread; where there is none, all figures are 0.
-struct Account(Option<File>);
+pub struct Account(Option<File>);
 
 impl Account {
-    fn open() -> Account {
+    /// Of the main thread.
+    pub fn open() -> Account {
         Account(File::open("/proc/self/schedstat").ok())
     }
 
-    fn read(&self) -> ThreadTime {
+    /// What it says now.
+    pub fn read(&self) -> ThreadTime {
         let mut text = [0; 96];
         let length = self.0.as_ref().and_then(|file| file.read_at(&mut text, 0).ok()).unwrap_or(0);
         let text = std::str::from_utf8(&text[..length]).unwrap_or_default();
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod receive_time;
 mod resp;
+mod run_queue;
 mod shutdown;
 mod usage;
 mod workers;
@@ -33,9 +34,11 @@
 use link::Links;
 use metrics::Metrics;
 use peers::Peers;
+use run_queue::RunQueue;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -81,9 +84,14 @@
             return ExitCode::FAILURE;
         }
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let run_queue = Arc::new(RunQueue::open());
+    let wakes = run_queue.clone();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .on_thread_unpark(move || wakes.woke())
+        .build();
     let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"));
-    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
+    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run(run_queue))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("frostvale: {what}");
@@ -92,7 +100,7 @@
     }
 }
 
-async fn run() -> Result<(), String> {
+async fn run(run_queue: Arc<RunQueue>) -> Result<(), String> {
     // Before all else: a signal that nobody awaits ends the process.
     let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
@@ -113,7 +121,7 @@
     let known = config.known.take();
     let platform = config.digest();
     let (moved, discovery) = watch::channel(config.discovery);
-    let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
+    let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part(), run_queue);
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
     let consult = move |extra: &Extra| {
--- a/src/bin/frostvale/receive_time.rs
+++ b/src/bin/frostvale/receive_time.rs
@@ -2,9 +2,10 @@
 //!
 //! A process that gets no core, or is stopped, reads late what its clients sent, and so does one whose table of clients is
 //! full; their time runs meanwhile. The kernel is asked through its sock_diag interface, sock_diag(7). A question costs two
-//! system calls, a few microseconds, whatever the number of connections. Where there is no answer the bytes count as just
-//! come. Of several commands that are read at once the kernel knows the last one's time alone: the others are older.
+//! system calls, a few microseconds, whatever the number of connections. Where there is no answer, what the process has
+//! waited for a core is taken for the age of the bytes. Of several commands that are read at once the kernel knows the last one's time alone: the others are older.
 
+use crate::run_queue::RunQueue;
 use netlink_packet_core::{NLM_F_REQUEST, NetlinkHeader, NetlinkMessage, NetlinkPayload};
 use netlink_packet_sock_diag::SockDiagMessage;
 use netlink_packet_sock_diag::constants::{AF_INET, AF_INET6, IPPROTO_TCP};
@@ -12,6 +13,7 @@
 use netlink_packet_sock_diag::inet::{ExtensionFlags, InetRequest, InetResponse, SocketId, StateFlags};
 use netlink_sys::{Socket, protocols::NETLINK_SOCK_DIAG};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
@@ -48,24 +50,29 @@
     }
 }
 
-/// The way to ask the kernel.
-pub struct ReceiveTimes(Option<Socket>);
+/// The way to ask the kernel. Where it can't be asked for a connection, what this process waited for a core stands in for
+/// the age of what it reads.
+pub struct ReceiveTimes {
+    socket: Option<Socket>,
+    run_queue: Arc<RunQueue>,
+}
 
 impl ReceiveTimes {
-    /// Where the kernel can't be asked, all that is read counts as just come.
-    pub fn open() -> ReceiveTimes {
+    /// Opens the way.
+    pub fn open(run_queue: Arc<RunQueue>) -> ReceiveTimes {
         let socket = open_socket();
         if let Err(error) = &socket {
-            tracing::warn!("the kernel does not tell when bytes came: {error}");
+            tracing::info!("the kernel does not tell when bytes came, waits for a core are counted: {error}");
         }
-        ReceiveTimes(socket.ok())
+        ReceiveTimes { socket: socket.ok(), run_queue }
     }
 
     /// When the last bytes came on this connection.
     pub fn last_received(&self, connection: &ConnectionId) -> Instant {
         let now = Instant::now();
-        let age = self.0.as_ref().and_then(|socket| age_of_last_bytes(socket, connection));
-        now.checked_sub(age.unwrap_or_default().min(AGE_MOST)).unwrap_or(now)
+        let age = self.socket.as_ref().and_then(|socket| age_of_last_bytes(socket, connection));
+        let age = age.unwrap_or_else(|| self.run_queue.latest()).min(AGE_MOST);
+        now.checked_sub(age).unwrap_or(now)
     }
 }
 
