--- a/src/hands/tests.rs
+++ b/src/hands/tests.rs
@@ -47,7 +47,15 @@
 #[test]
 fn what_is_sent_on_is_found_by_id_and_question() {
     let mut hands = Hands::default();
-    let held = |job| Held { job, attempts: 0, ended: false, sent_at: 0.0, sent_to: (0, 0), load: 0.0, may_run: None };
+    let held = |job| Held {
+        job,
+        attempts: 0,
+        ended: false,
+        sent_at: 0.0,
+        sent_to: (0, 0),
+        load: 0.0,
+        may_run: None,
+    };
     hands.insert(held(job(7, 70, 1)));
     assert_eq!(hands.by_number(7).map(|h| h.job.request.id), Some(70));
     assert!(hands.remove(70).is_some() && hands.by_number(7).is_none() && hands.get(70).is_none());
