What a process waited for a core before it listened is no request's age

Need: where sock_diag gives no age, the first turn after the listener was bound counted all waits since the process began, and would refuse requests that had only just come. Change: the account begins anew once the kernel takes connections.

--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -121,7 +121,7 @@
     let known = config.known.take();
     let platform = config.digest();
     let (moved, discovery) = watch::channel(config.discovery);
-    let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part(), run_queue);
+    let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part(), run_queue.clone());
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
     let consult = move |extra: &Extra| {
@@ -157,6 +157,7 @@
     // From here on the kernel takes connections, and their requests' time runs.
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let listen = listener.local_addr().unwrap_or(listen);
+    run_queue.woke();
     let news = Rc::new(Notify::new());
     gateway.borrow_mut().news = news.clone();
     if let Some(peers) = peers {
