--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -84,6 +84,13 @@
             "three are the most",
         ),
         ("not built", RED, format!("{LOG}error: could not compile `x`\n"), false, "was not built"),
+        (
+            "a process of a test was killed by it",
+            RED,
+            format!("{LOG}n1 has ended (signal: 9 (SIGKILL)); it is started again\n"),
+            true,
+            "known-red: drains_late",
+        ),
         (
             "killed",
             RED,
