A change of the council's members whose answer is lost is known to be done

The first leader had taken it in and lost its place; the try was put to the next leader, which refused it.

Change: whoever asked looks, after a refusal or a lost answer, whether the members are what the change makes of them, and says so; who asks for what was so before is refused as ever. An addition that a leader left half done is gone on with.

Measured: the new test fails without the change (InDoubt, "the answer was cut"); with it the file passes, and 12 runs of this and followers_follow_and_members_change_one_at_a_time, four at once.

--- a/crates/council/src/member.rs
+++ b/crates/council/src/member.rs
@@ -728,12 +728,55 @@
         }
     }
 
-    /// Changes the members, one at a time.
+    /// Changes the members, one at a time. A change whose answer is lost with its leader, or that a later leader refuses
+    /// as it is done already, is done.
     ///
     /// # Errors
     /// When that was not done, or is not known.
     pub async fn change(&self, admin: Admin, most: Duration) -> Result<String, Error> {
-        self.at_leader(Kind::Admin, &admin, most, || self.change_here(admin.clone())).await
+        let until = Instant::now() + most;
+        let was_so = self.is_done(&admin).is_some();
+        let answer = self.at_leader(Kind::Admin, &admin, most, || self.change_here(admin.clone())).await;
+        match answer {
+            Err(why @ (Error::Refused(_) | Error::InDoubt(_))) if !was_so => {
+                self.done_by_now(&admin, until).await.ok_or(why)
+            }
+            answer => answer,
+        }
+    }
+
+    /// What operators are told of a change that is done as soon as whoever leads can say what the members are.
+    async fn done_by_now(&self, admin: &Admin, until: Instant) -> Option<String> {
+        while Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now());
+            if self.current(left).await.is_ok() {
+                return self.is_done(admin);
+            }
+            sleep(LOOK).await;
+        }
+        None
+    }
+
+    /// What operators are told if the members are, as far as this one knows, what a change makes of them.
+    fn is_done(&self, admin: &Admin) -> Option<String> {
+        let raft = self.raft()?;
+        let members = Self::members(&raft);
+        match admin {
+            Admin::Add { name, at } => {
+                let member = members.iter().find(|m| m.name == *name && (at.is_empty() || m.at == *at))?;
+                let votes = member.votes && !Self::changes(&raft);
+                votes.then(|| Self::after(&raft, &format!("{name} votes, as member {}", member.id)))
+            }
+            Admin::Remove { name } => {
+                let gone = !members.is_empty() && members.iter().all(|m| m.name != *name);
+                gone.then(|| Self::after(&raft, &format!("{name} is no member any more")))
+            }
+        }
+    }
+
+    /// Whether a change of the voters was begun and is not finished: two sets of voters count.
+    fn changes(raft: &Raft<TypeConfig>) -> bool {
+        raft.metrics().borrow().membership_config.membership().get_joint_config().len() > 1
     }
 
     /// Does something here if this member leads, or has the leader do it; while there is none it waits for one.
@@ -868,7 +911,8 @@
             return refused("another change of members is under way; try again when it is done".into());
         };
         let id = match Self::members(&raft).into_iter().find(|m| m.name == name) {
-            Some(m) if m.votes => return refused(format!("{name} votes already")),
+            // A leader that lost its place may have left its addition half done: that is gone on with.
+            Some(m) if m.votes && !Self::changes(&raft) => return refused(format!("{name} votes already")),
             Some(m) => m.id,
             None if !is_name(name) || at.is_empty() => {
                 return refused(format!("{name} does not follow this council: say where it is (--at)"));
@@ -903,7 +947,7 @@
             sleep(LOOK).await;
         }
         change(&raft, ChangeMembers::AddVoterIds(BTreeSet::from([id]))).await?;
-        Ok(self.after(&raft, &format!("{name} votes, as member {id}")))
+        Ok(self.told(&raft, &format!("{name} votes, as member {id}")))
     }
 
     async fn remove(&self, name: &str) -> Result<String, Failed> {
@@ -927,17 +971,22 @@
         } else {
             change(&raft, ChangeMembers::RemoveNodes(BTreeSet::from([member.id]))).await?;
         }
-        Ok(self.after(&raft, &format!("{name} (member {}) is no member any more", member.id)))
+        Ok(self.told(&raft, &format!("{name} (member {}) is no member any more", member.id)))
     }
 
-    fn after(&self, raft: &Raft<TypeConfig>, said: &str) -> String {
-        let votes = Self::members(raft).iter().filter(|m| m.votes).count();
-        let even = if votes % 2 == 0 { "; an even number bears no more losses than one less" } else { "" };
-        let line = format!("{said}; {votes} vote{even}");
+    fn told(&self, raft: &Raft<TypeConfig>, said: &str) -> String {
+        let line = Self::after(raft, said);
         tracing::info!("{line}");
         line
     }
 
+    /// What was done, and how many vote now.
+    fn after(raft: &Raft<TypeConfig>, said: &str) -> String {
+        let votes = Self::members(raft).iter().filter(|m| m.votes).count();
+        let even = if votes % 2 == 0 { "; an even number bears no more losses than one less" } else { "" };
+        format!("{said}; {votes} vote{even}")
+    }
+
     /// Lets its file grow to so many pages, so that a full disk can be tried.
     ///
     /// # Errors
--- a/crates/council/tests/council.rs
+++ b/crates/council/tests/council.rs
@@ -411,6 +411,27 @@
     assert!(matches!(gone, Err(Error::Refused(why)) if why.contains("no member")));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_of_members_whose_answer_is_lost_is_known_to_be_done() {
+    let town = Town::formed(3).await;
+    let follower = town.start(4);
+    town.until("it follows", || follower.status().state == "learner").await;
+    let leader = town.leader().await;
+    let other = (1..=3).find(|k| *k != leader).expect("another");
+    let votes = |k: usize| town.get(k).status().members.iter().filter(|m| m.votes).count();
+    for (change, then) in
+        [(Admin::Add { name: "m4".into(), at: String::new() }, 4), (Admin::Remove { name: "m4".into() }, 3)]
+    {
+        town.cut(leader, other);
+        let asked = town.get(other);
+        let asked = tokio::spawn(async move { asked.change(change, LONG).await });
+        town.until("the leader has done it", || votes(leader) == then || !town.get(leader).leads()).await;
+        town.heal();
+        let said = asked.await.expect("ran").expect("known to be done");
+        assert!(said.contains(&format!("{then} vote")), "{said}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn one_goes_on_alone_by_hand_and_the_lost_ones_are_refused() {
     let town = Town::formed(3).await;
