One revision of plans names one set of figures, which stay until the next are published

Cause: the record told gatekeepers the newest revision of anything with the plans published by then. Between a change and its publication the plan was in neither list: gatekeepers fell back to their settings' figures for it (0.2 s in the usual case, until its time for a change set for later, as long as the council has no majority), and two sets of figures went by one revision.

Change: what is published keeps the figures of its revision (from the audit trail, so the schema stays), and the published plans have a revision of their own, which moves when they change. A plan whose time comes after a later one names the set anew.

Measured: a_plan_that_is_set_for_later_leaves_what_is_in_effect fails on the former programs ("the plans of revision 2 are in effect" at once, for a plan of the next hour); one_revision_of_published_plans_names_one_set_of_figures on both databases.

--- a/crates/agent/src/record/plans.rs
+++ b/crates/agent/src/record/plans.rs
@@ -5,7 +5,7 @@
 use crate::duties::PUBLISH;
 use frostvale_link::proto::{Fence, Plan as PlanWord, Plans};
 use frostvale_record::Backend;
-use frostvale_record::model::{Kept, Plan};
+use frostvale_record::model::Plan;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -36,20 +36,23 @@
             epoch: u64::try_from(f.epoch).unwrap_or(0),
             owner: f.owner.clone(),
         });
-        let holds = |kept: &&Kept<Plan>| match governed {
-            true => snapshot.published.iter().any(|(n, r)| *n == kept.it.name && *r == kept.revision),
-            false => kept.it.from_ms <= now_ms,
+        let (plans, revision): (Vec<&Plan>, i64) = match governed {
+            true => (snapshot.published.iter().map(|p| &p.plan).collect(), snapshot.published_revision),
+            false => (
+                snapshot.plans.iter().map(|kept| &kept.it).filter(|plan| plan.from_ms <= now_ms).collect(),
+                snapshot.revision,
+            ),
         };
         let units = |milli: i64| u64::try_from(milli).unwrap_or(0);
-        let plans = snapshot.plans.iter().filter(holds).map(|kept| PlanWord {
-            name: kept.it.name.clone(),
-            rate_milli: units(kept.it.rate_milli),
-            burst_milli: units(kept.it.burst_milli),
-            ceiling_rate_milli: units(kept.it.ceiling_rate_milli),
-            ceiling_burst_milli: units(kept.it.ceiling_burst_milli),
-            ceiling_slack_milli: units(kept.it.ceiling_slack_milli),
-            open: u32::try_from(kept.it.open).unwrap_or(0),
+        let plans = plans.into_iter().map(|plan| PlanWord {
+            name: plan.name.clone(),
+            rate_milli: units(plan.rate_milli),
+            burst_milli: units(plan.burst_milli),
+            ceiling_rate_milli: units(plan.ceiling_rate_milli),
+            ceiling_burst_milli: units(plan.ceiling_burst_milli),
+            ceiling_slack_milli: units(plan.ceiling_slack_milli),
+            open: u32::try_from(plan.open).unwrap_or(0),
         });
-        Some(Plans { revision: u64::try_from(snapshot.revision).unwrap_or(0), plans: plans.collect(), fence })
+        Some(Plans { revision: u64::try_from(revision).unwrap_or(0), plans: plans.collect(), fence })
     }
 }
--- a/crates/agent/tests/owner.rs
+++ b/crates/agent/tests/owner.rs
@@ -179,6 +179,29 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 32)]
+async fn a_plan_that_is_set_for_later_leaves_what_is_in_effect() {
+    let mut fleet = fleet(plan(3, 3)).await;
+    let record = backend(&fleet).await;
+    record.run(set(1, "one", 0)).await.expect("set");
+    for g in &mut fleet.town.gatekeepers {
+        g.process.says("the plans of revision 1 are in effect").await.expect("published");
+    }
+    let Op::SetPlan(next, change) = set(2, "two", 1) else { unreachable!() };
+    let in_an_hour = KeptPlan { from_ms: i64::try_from(unix_ms()).expect("a time") + 3_600_000, ..next };
+    record.run(Op::SetPlan(in_an_hour, change)).await.expect("set");
+    sleep(Duration::from_secs(1)).await;
+    for g in &fleet.town.gatekeepers {
+        let log = g.process.log();
+        assert!(log.iter().all(|l| !l.contains("revision 2 are in effect")), "{log:?}");
+    }
+    record.run(set(3, "three", 2)).await.expect("set");
+    for g in &mut fleet.town.gatekeepers {
+        g.process.says("the plans of revision 3 are in effect").await.expect("published");
+    }
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 32)]
 async fn a_database_without_the_last_second_gives_no_epoch_out_twice() {
     let mut fleet = fleet(plan(3, 0)).await;
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod model;
 pub mod ops;
 pub mod postgres;
+mod publish;
 pub mod restore;
 pub mod spool;
 pub mod sql;
--- a/crates/record/src/model.rs
+++ b/crates/record/src/model.rs
@@ -123,12 +123,23 @@
     pub plans: Vec<Kept<Plan>>,
     /// The overrides.
     pub overrides: Vec<Kept<Override>>,
-    /// Plans that the fleet's owner of that duty has had take effect: name and revision.
-    pub published: Vec<(String, i64)>,
+    /// The plans that the owner of the publish duty has had take effect, by name.
+    pub published: Vec<Published>,
+    /// Grows whenever the set of published plans changes; 0 while none is published.
+    pub published_revision: i64,
     /// What stands for each duty.
     pub fences: Vec<Standing>,
 }
 
+/// A plan in effect: its figures stay until the next ones are published, whatever was set meanwhile.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Published {
+    /// The plan, with the figures of this revision.
+    pub plan: Plan,
+    /// The revision at which it was set.
+    pub revision: i64,
+}
+
 /// The highest epoch that the record has seen of a duty.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Standing {
--- a/crates/record/src/ops.rs
+++ b/crates/record/src/ops.rs
@@ -7,6 +7,7 @@
     Batch, Change, Entry, Export, ExportPart, Gap, HistoryRow, Kept, Level, Line, Override, Plan,
     RevisionUse, Shop, Snapshot, Standing, Total,
 };
+use crate::publish;
 use crate::sql;
 use frostvale_owner::Fence;
 use serde_json::json;
@@ -450,7 +451,7 @@
     let revision = head.first().ok_or_else(|| Error::Corrupt("no head".into()))?.int(0)?;
     let plans = tx.query(sql::PLANS, vec![]).await?;
     let overrides = tx.query(sql::OVERRIDES, vec![]).await?;
-    let published = tx.query(sql::PUBLISHED, vec![]).await?;
+    let (published, published_revision) = (publish::published(tx).await?, publish::revision(tx).await?);
     let fences = tx.query(sql::FENCES, vec![]).await?;
     let standing =
         |r: &Row| Ok(Standing { duty: r.text(0)?, epoch: r.int(1)?, owner: r.text(2)?, at_ms: r.int(3)? });
@@ -458,7 +459,8 @@
         revision,
         plans: plans.iter().map(|r| plan_of(r).map(|f| f.0)).collect::<Result<_, _>>()?,
         overrides: overrides.iter().map(|r| override_of(r).map(|f| f.0)).collect::<Result<_, _>>()?,
-        published: published.iter().map(|r| Ok((r.text(0)?, r.int(1)?))).collect::<Result<_, Error>>()?,
+        published,
+        published_revision,
         fences: fences.iter().map(standing).collect::<Result<_, Error>>()?,
     }))
 }
@@ -483,12 +485,12 @@
     }
 }
 
-async fn next<T: Tx>(tx: &mut T) -> Result<i64, Error> {
+pub(crate) async fn next<T: Tx>(tx: &mut T) -> Result<i64, Error> {
     let rows = tx.query(sql::HEAD_NEXT, vec![]).await?;
     rows.first().ok_or_else(|| Error::Corrupt("no head".into()))?.int(0)
 }
 
-async fn audit<T: Tx>(
+pub(crate) async fn audit<T: Tx>(
     tx: &mut T,
     revision: i64,
     change: &Change,
@@ -506,15 +508,6 @@
     Error::Again(format!("{subject} was changed meanwhile"))
 }
 
-fn plan_json(p: &Plan) -> String {
-    json!({
-        "rate_milli": p.rate_milli, "burst_milli": p.burst_milli, "open": p.open,
-        "ceiling_rate_milli": p.ceiling_rate_milli, "ceiling_burst_milli": p.ceiling_burst_milli,
-        "ceiling_slack_milli": p.ceiling_slack_milli, "from_ms": p.from_ms,
-    })
-    .to_string()
-}
-
 async fn set_plan<T: Tx>(tx: &mut T, plan: &Plan, change: &Change) -> Result<Reply, Error> {
     plan.check()?;
     let rows = tx.query(sql::PLAN, args![&plan.name]).await?;
@@ -548,8 +541,8 @@
     if changed != 1 {
         return Err(raced(&subject));
     }
-    let was = found.map_or(String::new(), |(kept, _)| plan_json(&kept.it));
-    audit(tx, revision, change, "plan set", &plan.name, (was, plan_json(plan))).await?;
+    let was = found.map_or(String::new(), |(kept, _)| publish::to_json(&kept.it));
+    audit(tx, revision, change, "plan set", &plan.name, (was, publish::to_json(plan))).await?;
     Ok(Reply::Revision(revision))
 }
 
--- a/crates/record/src/sql.rs
+++ b/crates/record/src/sql.rs
@@ -259,8 +259,16 @@
     PUBLISH = "INSERT INTO published (name, revision, epoch, at_ms) SELECT name, revision, $1::BIGINT, $2::BIGINT \
         FROM plans WHERE from_ms <= $2::BIGINT ON CONFLICT (name) DO UPDATE SET revision = excluded.revision, \
         epoch = excluded.epoch, at_ms = excluded.at_ms WHERE published.revision <> excluded.revision";
-    /// What is published.
-    PUBLISHED = "SELECT name, revision FROM published ORDER BY name";
+    /// What is published, with the figures that were set at that revision.
+    PUBLISHED = "SELECT published.name, published.revision, audit.now_is FROM published \
+        JOIN audit ON audit.revision = published.revision ORDER BY published.name";
+    /// The newest revision that is published of any plan; 0 while none is.
+    PUBLISHED_NEWEST = "SELECT CAST(COALESCE(MAX(revision), 0) AS BIGINT) AS n FROM published";
+    /// The revision at which the published plans last changed; no row before the first change.
+    PUBLISHED_REVISION = "SELECT revision FROM head WHERE id = 2";
+    /// Sets it.
+    PUBLISHED_REVISION_SET = "INSERT INTO head (id, revision) VALUES (2, $1::BIGINT) \
+        ON CONFLICT (id) DO UPDATE SET revision = excluded.revision";
     /// A part of the export that was begun.
     EXPORT_BEGUN = "SELECT number FROM exports WHERE done = 0 ORDER BY number LIMIT 1";
     /// The next number.
--- a/crates/record/tests/fleet.rs
+++ b/crates/record/tests/fleet.rs
@@ -222,7 +222,9 @@
         backend.run(Op::SetPlan(plan("tienda", 100), change("b", 0))).await.expect("set");
         let (old, new) = (fence("publish", "a", 1), fence("publish", "b", 2));
         let published = async || match backend.run(Op::Load).await {
-            Ok(Reply::Snapshot(all)) => all.published,
+            Ok(Reply::Snapshot(all)) => {
+                all.published.into_iter().map(|p| (p.plan.name, p.revision)).collect::<Vec<_>>()
+            }
             other => panic!("{other:?}"),
         };
         assert_eq!(work(&*backend, &old, Work::Publish, 50).await, Ok(Reply::Did(1)));
@@ -235,6 +237,50 @@
     }
 }
 
+#[tokio::test]
+async fn one_revision_of_published_plans_names_one_set_of_figures() {
+    for (backend, _server, _folder) in both("one set").await {
+        let set = async |name: &str, rate_milli, from_ms, base| {
+            let plan = Plan { name: name.into(), rate_milli, burst_milli: 2000, from_ms, ..Plan::default() };
+            let (by, source, why) = ("ana".into(), "test".into(), "a test".into());
+            let change = Change { id: format!("{name} {rate_milli}"), base, by, source, why, at_ms: 0 };
+            backend.run(Op::SetPlan(plan, change)).await.expect("set");
+        };
+        let in_effect = async || match backend.run(Op::Load).await {
+            Ok(Reply::Snapshot(all)) => {
+                let figures = all.published.into_iter().map(|p| (p.plan.name, p.plan.rate_milli));
+                (all.published_revision, figures.collect::<Vec<_>>())
+            }
+            other => panic!("{other:?}"),
+        };
+        let owner = fence("publish", "a", 1);
+        let publish = async |now_ms| work(&*backend, &owner, Work::Publish, now_ms).await.expect("published");
+        let figures = |all: &[(&str, i64)]| all.iter().map(|(n, r)| (n.to_string(), *r)).collect::<Vec<_>>();
+
+        set("basico", 1000, 0, 0).await;
+        assert_eq!(in_effect().await, (0, vec![]), "set, and not published yet");
+        publish(10).await;
+        assert_eq!(in_effect().await, (1, figures(&[("basico", 1000)])));
+        set("basico", 2000, 100, 1).await;
+        publish(20).await;
+        assert_eq!(
+            in_effect().await,
+            (1, figures(&[("basico", 1000)])),
+            "what is in effect stays until then"
+        );
+        set("tienda", 3000, 0, 0).await;
+        publish(30).await;
+        assert_eq!(in_effect().await, (3, figures(&[("basico", 1000), ("tienda", 3000)])));
+        publish(100).await;
+        assert_eq!(in_effect().await, (4, figures(&[("basico", 2000), ("tienda", 3000)])), "another set");
+        publish(110).await;
+        assert_eq!(in_effect().await.0, 4, "nothing new");
+        set("tienda", 4000, 0, 3).await;
+        publish(120).await;
+        assert_eq!(in_effect().await, (5, figures(&[("basico", 2000), ("tienda", 4000)])));
+    }
+}
+
 fn history_row(number: i64, at_ms: i64) -> HistoryRow {
     let (instance, kind, now_is) = ("n1".into(), "plans".into(), number.to_string());
     HistoryRow {
