A new owner of the audit lets nobody in and believes nobody before it can judge

Cause: an owner that has just taken the audit up knows the roster and has heard nobody. One that is shut out was then up to date for want of evidence, and let in after back_ms; and once it alone was heard, its own digest was the usual one.

Change: one of which nothing is heard, or whose digest can't be judged yet, is undecided: it stays as it is, in or out, and no step is taken. Those that are shut out have no say in what is usual while others can tell.

That one was let in was not seen on processes; the tests of book and ladder show both cases by the new interface, and were not run against the old one.

--- a/crates/agent/src/audit.rs
+++ b/crates/agent/src/audit.rs
@@ -11,7 +11,7 @@
 use frostvale_audit::acts::{EPOCH, PLANS};
 use frostvale_audit::book::Late;
 use frostvale_audit::chain::{Anchor, Row, link as chain};
-use frostvale_audit::ladder::{ByHand, Step, Want};
+use frostvale_audit::ladder::{ByHand, Digest, Step, Want};
 use frostvale_audit::{Act, Acts, Book, Decision, Event, Ladder, Version};
 use frostvale_council::{Council, Whole};
 use frostvale_link::agent::Link;
@@ -136,6 +136,12 @@
         bench
     }
 
+    /// Why one is out that can't be judged at present; empty for all others.
+    fn not_judged(&self, instance: &str) -> String {
+        let out = self.decision.out.iter().find(|o| o.instance == instance);
+        out.filter(|_| self.ladder.is_undecided(instance)).map_or(String::new(), |o| o.why.clone())
+    }
+
     fn note(&mut self, instance: &str, kind: &str, was: &str, now_is: &str) {
         let life = self.book.get(instance).map_or(0, |k| k.acts.life);
         self.pending.push(Event {
@@ -168,11 +174,11 @@
             if was.is_none_or(|was| revision > was) {
                 let told = was.map_or(String::new(), |w| w.to_string());
                 self.note("", &format!("wanted.{kind}"), &told, &revision.to_string());
-                self.wanted.insert(kind, Want { revision, digest: None, since: now });
+                self.wanted.insert(kind, Want { revision, digest: Digest::NotCompared, since: now });
             }
         }
         if let Some(plans) = self.wanted.get_mut(PLANS) {
-            plans.digest = self.book.usual(PLANS, plans.revision);
+            plans.digest = self.book.usual(PLANS, plans.revision, |name| self.decision.is_out(name));
         }
     }
 
@@ -702,7 +708,7 @@
                 age_ms: now.saturating_sub(k.heard),
                 heard: !k.silent,
                 versions: k.acts.versions.iter().map(acting).collect(),
-                behind: straggler.map_or(String::new(), |s| s.why.clone()),
+                behind: straggler.map_or_else(|| bench.not_judged(name), |s| s.why.clone()),
                 step: straggler.map_or(String::new(), |s| step(s.step).to_string()),
                 out: bench.decision.is_out(name),
             }
@@ -710,7 +716,10 @@
         let wanted = |(kind, w): (&String, &Want)| Wanted {
             kind: kind.clone(),
             revision: w.revision,
-            digest: w.digest.clone().unwrap_or_default(),
+            digest: match &w.digest {
+                Digest::Usual(digest) => digest.clone(),
+                Digest::NotCompared | Digest::Undecided => String::new(),
+            },
             age_ms: now.saturating_sub(w.since),
         };
         Ok(AuditView {
--- a/crates/audit/src/book.rs
+++ b/crates/audit/src/book.rs
@@ -2,6 +2,7 @@
 
 use crate::acts::{Acts, EPOCH, PLANS, Refused, Version};
 use crate::decision::{ROSTER_MOST, Seat};
+use crate::ladder::Digest;
 use crate::settings::Settings;
 use std::collections::BTreeMap;
 
@@ -260,20 +261,40 @@
         self.counts
     }
 
-    /// The digest that most of those tell who act on this revision of a kind; none where two are told equally often by
-    /// different ones, as then it can't be said who is wrong.
+    /// The digest that most of those in service tell who act on this revision of a kind. While some of them are not
+    /// heard and none tells one, and where two are told equally often, it can't be said who is wrong. Those that are
+    /// shut out are asked only where nobody else can tell.
     #[must_use]
-    pub fn usual(&self, kind: &str, revision: u64) -> Option<String> {
-        let mut by: BTreeMap<&str, usize> = BTreeMap::new();
-        for known in self.all.values().filter(|k| !k.silent) {
-            if let Some(v) = known.acts.versions.get(kind).filter(|v| v.revision == revision) {
-                *by.entry(v.digest.as_str()).or_default() += 1;
-            }
+    pub fn usual(&self, kind: &str, revision: u64, is_out: impl Fn(&str) -> bool) -> Digest {
+        let serves = |(name, _): &(&String, &Known)| !is_out(name);
+        let told = |known: &Known| {
+            let version =
+                known.acts.versions.get(kind).filter(|v| v.revision == revision && !known.silent)?;
+            Some(version.digest.clone())
+        };
+        let in_service: Vec<String> = self.all.iter().filter(serves).filter_map(|(_, k)| told(k)).collect();
+        if !in_service.is_empty() {
+            return most_told(&in_service);
         }
-        let most = by.values().copied().max()?;
-        let mut first = by.iter().filter(|(_, n)| **n == most);
-        let digest = first.next()?.0;
-        first.next().is_none().then(|| (*digest).to_string())
+        let unheard = |known: &Known| known.silent || known.acts.versions.is_empty();
+        if self.all.iter().filter(serves).any(|(_, k)| unheard(k)) {
+            return Digest::Undecided;
+        }
+        most_told(&self.all.values().filter_map(told).collect::<Vec<_>>())
+    }
+}
+
+/// The digest that is told most often, if there is one such.
+fn most_told(digests: &[String]) -> Digest {
+    let mut by: BTreeMap<&str, usize> = BTreeMap::new();
+    for digest in digests {
+        *by.entry(digest).or_default() += 1;
+    }
+    let most = by.values().copied().max();
+    let mut first = by.iter().filter(|(_, n)| Some(**n) == most);
+    match (first.next(), first.next()) {
+        (Some((digest, _)), None) => Digest::Usual((*digest).to_string()),
+        _ => Digest::Undecided,
     }
 }
 
@@ -381,8 +402,34 @@
         for (name, letter) in [("n1", "a"), ("n2", "b"), ("n3", "b")] {
             book.heard(0, "a1", acts(name, 7, 1, version(2, letter)), 0).expect("taken");
         }
-        assert_eq!(book.usual(PLANS, 2), Some("b".repeat(64)));
+        let all_serve = |_: &str| false;
+        assert_eq!(book.usual(PLANS, 2, all_serve), Digest::Usual("b".repeat(64)));
         book.heard(0, "a1", acts("n4", 7, 1, version(2, "a")), 0).expect("taken");
-        assert_eq!(book.usual(PLANS, 2), None, "two and two: nobody can say who is wrong");
+        assert_eq!(
+            book.usual(PLANS, 2, all_serve),
+            Digest::Undecided,
+            "two and two: nobody can say who is wrong"
+        );
+        let n4_is_out = |name: &str| name == "n4";
+        assert_eq!(book.usual(PLANS, 2, n4_is_out), Digest::Usual("b".repeat(64)), "it has no say");
+    }
+
+    #[test]
+    fn one_that_is_shut_out_is_not_believed_before_the_others_are_heard() {
+        let mut book = Book::new(Settings::default());
+        let seat = |name: &str| Seat {
+            instance: name.into(),
+            agent: "a1".into(),
+            zone: "z".into(),
+            me: 0,
+            gateways: 9,
+            life: 7,
+        };
+        book.resume(0, &[seat("n1"), seat("n2")]);
+        book.heard(0, "a1", acts("n2", 7, 2, version(2, "a")), 0).expect("taken");
+        let n2_is_out = |name: &str| name == "n2";
+        assert_eq!(book.usual(PLANS, 2, n2_is_out), Digest::Undecided);
+        book.heard(0, "a1", acts("n1", 7, 2, version(1, "b")), 0).expect("taken");
+        assert_eq!(book.usual(PLANS, 2, n2_is_out), Digest::Usual("a".repeat(64)), "nobody else can tell");
     }
 }
--- a/crates/audit/src/ladder.rs
+++ b/crates/audit/src/ladder.rs
@@ -12,12 +12,37 @@
 pub struct Want {
     /// The revision; one that acts on a lower one is behind.
     pub revision: u64,
-    /// The digest, where it is known: with the same revision and another digest it acts on something else.
-    pub digest: Option<String>,
+    /// The digest: with the same revision and another digest it acts on something else.
+    pub digest: Digest,
     /// Since when, by the owner's clock.
     pub since: u64,
 }
 
+/// The digest that those should tell who act on a revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Digest {
+    /// Digests of this kind say nothing: they differ from one to the other.
+    NotCompared,
+    /// It can't be said at present.
+    Undecided,
+    /// This one.
+    Usual(String),
+}
+
+/// How one stands to what is wanted.
+enum Judgement {
+    UpToDate,
+    /// At the wanted revision, by a digest that can't be judged at present; or nothing is known of what it acts on.
+    Undecided,
+    Behind {
+        /// By the owner's clock.
+        since: u64,
+        why: String,
+        /// It has the revision, with the digest of something else.
+        by_digest: bool,
+    },
+}
+
 /// Something to be done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Act {
@@ -58,6 +83,13 @@
     /// Whether nothing is heard of it, which is another thing than to be behind.
     pub unknown: bool,
     alarmed: bool,
+    by_digest: bool,
+}
+
+impl Straggler {
+    fn new(known: &Known, since: u64, why: String, by_digest: bool) -> Straggler {
+        Straggler { since, step: Step::Waits, why, unknown: known.silent, alarmed: false, by_digest }
+    }
 }
 
 /// All that are.
@@ -65,6 +97,8 @@
 pub struct Ladder {
     s: Settings,
     all: BTreeMap<String, Straggler>,
+    /// Those that can't be judged at present: they stay as they are, in or out, and no step is taken.
+    undecided: BTreeSet<String>,
     /// Since when one that is shut out is up to date.
     sound: BTreeMap<String, u64>,
     /// When so many were last unknown that it was a split.
@@ -83,29 +117,56 @@
     In,
 }
 
-/// Why one is behind, or nothing.
-fn behind(known: &Known, wanted: &BTreeMap<String, Want>) -> Option<(u64, String)> {
-    let one = |(kind, want): (&String, &Want)| {
-        let is = known.acts.versions.get(kind)?;
+fn judge(known: &Known, wanted: &BTreeMap<String, Want>) -> Judgement {
+    if known.acts.versions.is_empty() {
+        return Judgement::Undecided;
+    }
+    let mut judged = Judgement::UpToDate;
+    for (kind, want) in wanted {
         // Without a decision on zones it acts by itself, as it should.
-        if kind == ZONES && is.revision == 0 {
-            return None;
-        }
-        let other = want.digest.as_ref().is_some_and(|d| is.revision == want.revision && *d != is.digest);
-        if is.revision < want.revision {
-            let told = Version { revision: is.revision, digest: String::new() };
-            return Some((want.since, format!("{kind} {} where {} is wanted", told.short(), want.revision)));
+        let acts_on = |v: &&Version| !(kind == ZONES && v.revision == 0);
+        let Some(is) = known.acts.versions.get(kind).filter(acts_on) else { continue };
+        let found = judge_kind(kind, is, want);
+        judged = match (judged, found) {
+            (Judgement::Behind { since, why, by_digest }, Judgement::Behind { since: other, .. })
+                if since <= other =>
+            {
+                Judgement::Behind { since, why, by_digest }
+            }
+            (_, found @ Judgement::Behind { .. }) => found,
+            (judged @ Judgement::Behind { .. }, _) => judged,
+            (Judgement::Undecided, _) | (_, Judgement::Undecided) => Judgement::Undecided,
+            _ => Judgement::UpToDate,
+        };
+    }
+    judged
+}
+
+fn judge_kind(kind: &str, is: &Version, want: &Want) -> Judgement {
+    let since = want.since;
+    if is.revision < want.revision {
+        let told = Version { revision: is.revision, digest: String::new() };
+        let why = format!("{kind} {} where {} is wanted", told.short(), want.revision);
+        return Judgement::Behind { since, why, by_digest: false };
+    }
+    if is.revision > want.revision {
+        return Judgement::UpToDate;
+    }
+    match &want.digest {
+        Digest::Usual(digest) if *digest != is.digest => {
+            let why = format!("{kind} {} with the digest of something else", is.revision);
+            Judgement::Behind { since, why, by_digest: true }
         }
-        other.then(|| (want.since, format!("{kind} {} with the digest of something else", is.revision)))
-    };
-    wanted.iter().filter_map(one).min_by_key(|(since, _)| *since)
+        Digest::Undecided => Judgement::Undecided,
+        Digest::Usual(_) | Digest::NotCompared => Judgement::UpToDate,
+    }
 }
 
 impl Ladder {
     /// Nobody is behind.
     #[must_use]
     pub fn new(s: Settings) -> Ladder {
-        Ladder { s, all: BTreeMap::new(), sound: BTreeMap::new(), split: None }
+        Ladder { s, all: BTreeMap::new(), undecided: BTreeSet::new(), sound: BTreeMap::new(), split: None }
     }
 
     /// Those that are behind or unknown.
@@ -113,6 +174,12 @@
         self.all.iter()
     }
 
+    /// Whether it can't be said at present what one acts on, or whether that is right.
+    #[must_use]
+    pub fn is_undecided(&self, name: &str) -> bool {
+        self.undecided.contains(name)
+    }
+
     /// Time has passed. `sets`: the sets of shops, by first and how many; `stands`: who is shut out now.
     pub fn turn(
         &mut self,
@@ -128,7 +195,9 @@
         self.all.retain(|name, _| book.get(name).is_some());
         self.sound.retain(|name, _| stands.is_out(name));
         // The lower steps, for those that can be told anything.
-        for (name, straggler) in self.all.iter_mut().filter(|(_, s)| !s.unknown) {
+        let undecided = &self.undecided;
+        let may_be_told = |name: &str, s: &Straggler| !s.unknown && !undecided.contains(name);
+        for (name, straggler) in self.all.iter_mut().filter(|(n, s)| may_be_told(n, s)) {
             let gone = now.saturating_sub(straggler.since);
             let due = |ms: u64| gone >= ms;
             let next = match straggler.step {
@@ -150,27 +219,37 @@
 
     /// Who is behind, who is unknown, and who no longer is either.
     fn look(&mut self, book: &Book, wanted: &BTreeMap<String, Want>) {
+        self.undecided.clear();
         for (name, known) in book.all() {
-            let found = if known.silent {
-                Some((known.heard, "nothing is heard of it".to_string(), true))
-            } else {
-                // It had its time from when it was heard again, or from when something new was wanted.
-                behind(known, wanted).map(|(since, why)| (since.max(known.since), why, false))
-            };
-            match found {
-                None => drop(self.all.remove(name)),
-                Some((since, why, unknown)) => {
-                    let new =
-                        Straggler { since, step: Step::Waits, why: why.clone(), unknown, alarmed: false };
-                    let entry = self.all.entry(name.clone()).or_insert_with(|| new.clone());
-                    if entry.unknown == unknown {
-                        entry.why = why;
-                    } else {
-                        // Known again, or no longer: it begins at the foot.
-                        *entry = new;
+            if known.silent {
+                let why = "nothing is heard of it".to_string();
+                self.put(name, Straggler::new(known, known.heard, why, false));
+                continue;
+            }
+            match judge(known, wanted) {
+                Judgement::UpToDate => drop(self.all.remove(name)),
+                Judgement::Undecided => {
+                    self.undecided.insert(name.clone());
+                    if self.all.get(name).is_some_and(|s| !s.by_digest) {
+                        self.all.remove(name);
                     }
                 }
+                // It had its time from when it was heard again, or from when something new was wanted.
+                Judgement::Behind { since, why, by_digest } => {
+                    self.put(name, Straggler::new(known, since.max(known.since), why, by_digest));
+                }
+            }
+        }
+    }
+
+    /// One is behind or unknown. It keeps its place, unless it was the other of both until now.
+    fn put(&mut self, name: &str, found: Straggler) {
+        match self.all.get_mut(name) {
+            Some(known) if known.unknown == found.unknown => {
+                known.why = found.why;
+                known.by_digest = found.by_digest;
             }
+            _ => drop(self.all.insert(name.to_string(), found)),
         }
     }
 
@@ -187,7 +266,11 @@
             let name = &out.instance;
             let by_hand = hands.get(name);
             let gone = book.get(name).is_none();
-            let well = !gone && !self.all.contains_key(name) && !matches!(by_hand, Some(ByHand::Out { .. }));
+            let judged = !self.undecided.contains(name);
+            let well = !gone
+                && judged
+                && !self.all.contains_key(name)
+                && !matches!(by_hand, Some(ByHand::Out { .. }));
             if !(well || by_hand == Some(&ByHand::In)) {
                 self.sound.remove(name);
                 continue;
@@ -212,8 +295,9 @@
         let after = self.s.tell_ms + self.s.snapshot_ms + self.s.out_ms;
         let (unknown_ms, kept_in) = (self.s.unknown_ms, |name: &str| hands.get(name) == Some(&ByHand::In));
         let due = |s: &Straggler| now.saturating_sub(s.since) >= if s.unknown { unknown_ms } else { after };
+        let judged = |name: &str| !self.undecided.contains(name);
         let mut wanted: Vec<(u64, String, String, bool)> = Vec::new();
-        for (name, s) in self.all.iter().filter(|(n, s)| due(s) && !kept_in(n)) {
+        for (name, s) in self.all.iter().filter(|(n, s)| due(s) && judged(n) && !kept_in(n)) {
             wanted.push((s.since, name.clone(), s.why.clone(), s.unknown));
         }
         for (name, hand) in hands {
@@ -380,7 +464,7 @@
         }
 
         fn want(&mut self, revision: u64) {
-            self.wanted.insert(PLANS.into(), Want { revision, digest: None, since: self.now });
+            self.wanted.insert(PLANS.into(), Want { revision, digest: Digest::NotCompared, since: self.now });
         }
 
         fn run(&mut self, ms: u64) {
@@ -431,6 +515,56 @@
         assert_eq!(world.out(), Vec::<&str>::new());
     }
 
+    #[test]
+    fn a_new_owner_lets_nobody_in_before_it_can_judge_and_shuts_nobody_out() {
+        let s = Settings::default();
+        let (mut book, mut ladder) = (Book::new(s), Ladder::new(s));
+        let names = ["n0", "n1", "n2", "n3", "n4", "n5"];
+        let seat = |(me, name): (usize, &&str)| crate::decision::Seat {
+            instance: (*name).into(),
+            agent: "a".into(),
+            zone: "z0".into(),
+            me: me as u32,
+            gateways: 6,
+            life: 7,
+        };
+        book.resume(0, &names.iter().enumerate().map(seat).collect::<Vec<_>>());
+        let out = Out { instance: "n5".into(), me: 5, why: "another digest".into(), at_ms: 0 };
+        let mut stands = Decision { out: vec![out], ..Decision::default() };
+        let mut now = 0;
+        let mut play = |letter: &str, others: &str, turns: u32| {
+            let mut done = Vec::new();
+            for _ in 0..turns {
+                now += 100;
+                for (k, name) in names.iter().enumerate() {
+                    let digest = if *name == "n5" { letter } else { others };
+                    if digest.is_empty() {
+                        continue;
+                    }
+                    let version = Version { revision: 2, digest: digest.repeat(64) };
+                    let told =
+                        Acts { versions: [(PLANS.to_string(), version)].into(), ..acts(k as u32, 6, 1, now) };
+                    book.heard(now, "a", told, 0).expect("taken");
+                }
+                book.turn(now, |_| true);
+                let digest = book.usual(PLANS, 2, |name| stands.is_out(name));
+                let wanted = BTreeMap::from([(PLANS.to_string(), Want { revision: 2, digest, since: 0 })]);
+                let hands = (&BTreeSet::new(), &BTreeMap::new());
+                for act in ladder.turn(now, 0, &book, &wanted, hands, &stands) {
+                    if let Act::LetIn(name) = &act {
+                        stands.out.retain(|o| o.instance != *name);
+                    }
+                    done.push(act);
+                }
+            }
+            done
+        };
+        let turns = u32::try_from(s.stale_ms / 100 - 1).expect("a few");
+        assert_eq!(play("b", "", turns), [], "nothing is heard but by the one that is out");
+        assert!(!play("b", "a", 100).iter().any(|act| matches!(act, Act::LetIn(_) | Act::ShutOut(_))));
+        assert!(play("a", "a", 100).contains(&Act::LetIn("n5".into())));
+    }
+
     #[test]
     fn the_last_of_a_set_stays_and_an_alarm_says_so() {
         let mut world = World::new(6, 1);
