A gatekeeper that starts anew has its time to catch up before the audit shuts it out

Cause: the time in which one that is behind may catch up ran on from its former life: one that was killed while behind was told or shut out at the moment it was heard again.

Change: another life begins at the foot, as one that was silent does.

Measured: one_that_starts_anew_has_its_time_to_catch_up fails without the change (out 1 s before its time in the new life is over).

--- a/crates/audit/src/book.rs
+++ b/crates/audit/src/book.rs
@@ -195,6 +195,9 @@
             events.push(event("heard", "silent".into(), format!("through {agent}"), within));
             (known.silent, known.since) = (false, now);
         }
+        if !same {
+            known.since = now;
+        }
         known.heard = known.heard.max(heard);
         known.agent = agent.into();
         known.acts = acts;
--- a/crates/audit/src/ladder.rs
+++ b/crates/audit/src/ladder.rs
@@ -84,11 +84,14 @@
     pub unknown: bool,
     alarmed: bool,
     by_digest: bool,
+    /// Of which life that is: one that starts anew has its time again.
+    life: u64,
 }
 
 impl Straggler {
     fn new(known: &Known, since: u64, why: String, by_digest: bool) -> Straggler {
-        Straggler { since, step: Step::Waits, why, unknown: known.silent, alarmed: false, by_digest }
+        let (unknown, life) = (known.silent, known.acts.life);
+        Straggler { since, step: Step::Waits, why, unknown, alarmed: false, by_digest, life }
     }
 }
 
@@ -242,10 +245,10 @@
         }
     }
 
-    /// One is behind or unknown. It keeps its place, unless it was the other of both until now.
+    /// One is behind or unknown. It keeps its place, unless it was the other of both until now or has started anew.
     fn put(&mut self, name: &str, found: Straggler) {
         match self.all.get_mut(name) {
-            Some(known) if known.unknown == found.unknown => {
+            Some(known) if (known.unknown, known.life) == (found.unknown, found.life) => {
                 known.why = found.why;
                 known.by_digest = found.by_digest;
             }
@@ -443,6 +446,8 @@
         /// Revision of each, and whether its agent is heard.
         fleet: Vec<(u64, bool)>,
         zones: u32,
+        /// Of all of them.
+        life: u64,
         done: Vec<(u64, Act)>,
     }
 
@@ -459,6 +464,7 @@
                 now: 0,
                 fleet: vec![(1, true); many as usize],
                 zones,
+                life: 7,
                 done: Vec::new(),
             }
         }
@@ -474,7 +480,8 @@
                 let many = self.fleet.len() as u32;
                 for (k, (plans, heard)) in self.fleet.iter().enumerate() {
                     if *heard {
-                        let _ = self.book.heard(self.now, "a", acts(k as u32, many, self.zones, *plans), 0);
+                        let told = Acts { life: self.life, ..acts(k as u32, many, self.zones, *plans) };
+                        let _ = self.book.heard(self.now, "a", told, 0);
                     }
                 }
                 self.book.turn(self.now, |_| true);
@@ -565,6 +572,22 @@
         assert!(play("a", "a", 100).contains(&Act::LetIn("n5".into())));
     }
 
+    #[test]
+    fn one_that_starts_anew_has_its_time_to_catch_up() {
+        let mut world = World::new(6, 3);
+        world.run(1000);
+        world.want(2);
+        world.fleet.iter_mut().skip(1).for_each(|f| f.0 = 2);
+        let s = Settings::default();
+        let until_out = s.tell_ms + s.snapshot_ms + s.out_ms;
+        world.run(until_out - 1000);
+        world.life = 8;
+        world.run(until_out - 1000);
+        assert_eq!(world.out(), Vec::<&str>::new());
+        world.run(3000);
+        assert_eq!(world.out(), ["n0"]);
+    }
+
     #[test]
     fn the_last_of_a_set_stays_and_an_alarm_says_so() {
         let mut world = World::new(6, 1);
