The audit's owner loses no rows and no decision with a decision's answer

Cause: when a decision on who is shut out was refused, or its answer was lost with a leader of the council, the owner began from nothing: rows that were not entered yet were lost, also that of a decision that had landed. And a decision made as the lease ran out was kept here and never sent: nobody was shut out or let in until something else changed.

Change: the owner keeps what it noted, goes on from the decision that stands, and takes back only rows of a decision that doesn't.

--- a/crates/agent/src/audit.rs
+++ b/crates/agent/src/audit.rs
@@ -102,6 +102,8 @@
     alarms: BTreeMap<String, String>,
     /// What is to be said to agents with their next evidence, by agent: tell again, and send all anew.
     errands: BTreeMap<String, (BTreeSet<String>, BTreeSet<String>)>,
+    /// A decision that is on its way, was refused, or whose answer was lost: how many events were pending before it.
+    in_doubt: Option<usize>,
 }
 
 impl Bench {
@@ -129,6 +131,7 @@
             retained: 0,
             alarms: BTreeMap::new(),
             errands: BTreeMap::new(),
+            in_doubt: None,
         };
         for out in outs {
             bench.note(&out.instance, "out", "", &out.why);
@@ -136,6 +139,18 @@
         bench
     }
 
+    /// Goes on from the decision that stands. What was noted stays, but for who was shut out or let in by a decision
+    /// that does not stand: that is decided again.
+    fn settle_doubt(&mut self, stands: &str) {
+        let Some(before) = self.in_doubt.take() else { return };
+        let standing: Decision = serde_json::from_str(stands).unwrap_or_default();
+        if standing.out != self.decision.out {
+            let noted = self.pending.split_off(before.min(self.pending.len()));
+            self.pending.extend(noted.into_iter().filter(|event| event.kind != "out"));
+        }
+        self.decision = standing;
+    }
+
     /// Why one is out that can't be judged at present; empty for all others.
     fn not_judged(&self, instance: &str) -> String {
         let out = self.decision.out.iter().find(|o| o.instance == instance);
@@ -481,10 +496,14 @@
             }
             let Some(bench) = bench.as_mut() else { return Err(Fail::Lapsed) };
             bench.at = now;
+            bench.settle_doubt(&stands.body);
+            let pending = bench.pending.len();
             bench.want(now, plans, &whole);
             let new = bench.turn(now, at_ms, &self.config.ladder, &hands);
             let former = stands.epoch < lease.epoch();
-            (new || former).then(|| serde_json::to_string(&bench.decision))
+            let decides = new || former;
+            bench.in_doubt = decides.then_some(pending);
+            decides.then(|| serde_json::to_string(&bench.decision))
         };
         if let Some(body) = body {
             let body = body.map_err(|e| Fail::Failed(e.to_string()))?;
@@ -494,14 +513,15 @@
             let decide = Command::Decide { duty, owner, epoch, seen: stands.version, body, at_ms };
             match self.council.propose(decide, ASK).await {
                 Ok(Outcome::Decided(version)) => {
+                    if let Some(bench) = lock(&self.bench).as_mut() {
+                        bench.in_doubt = None;
+                    }
                     let mut seen = self.council.watch();
                     let there =
                         |w: &Arc<Whole>| w.owner.decisions.get(AUDIT).is_some_and(|d| d.version >= version);
                     let _ = timeout(ASK, seen.wait_for(there)).await;
                 }
                 other => {
-                    // It goes on from what stands then; what was noted and not entered is of this epoch all the same.
-                    *lock(&self.bench) = None;
                     return Err(Fail::Failed(format!("the decision was not entered: {other:?}")));
                 }
             }
