The audit's test of a change asks for what is promised, whoever owns the audit meanwhile

Change: it waits for the row; the change comes before the restart; in the life that is shut out the last steps are told again, sent all anew, shut out, in this order; more rounds than one need as many other owners or silences in the history. Once out and once back, as before.

--- a/crates/agent/tests/audit.rs
+++ b/crates/agent/tests/audit.rs
@@ -164,9 +164,14 @@
     let text = std::fs::read_to_string(extra).expect("read");
     std::fs::write(extra, text.replace("[audit]\n", "[audit]\nfault_keeps_plans = true\n")).expect("written");
     fleet.town.gatekeepers[liar].process.kill().await;
-    fleet.town.restart_gatekeeper(liar).await.expect("started");
     set(&fleet, 2, 1).await;
     let name = fleet.town.gatekeepers[liar].name.clone();
+    // It starts when the others are done: one that is behind at both revisions is told of each.
+    stands(&fleet, 0, "the others act on revision 2", |t| {
+        all(t).iter().filter(|i| i.name != name).all(|i| plans_of(i).0 == 2)
+    })
+    .await;
+    fleet.town.restart_gatekeeper(liar).await.expect("started");
     stands(&fleet, 0, "its digest gives it away, and no other's", |t| {
         one(t, &name).is_some_and(|i| plans_of(i).0 == 2 && i.behind.contains("the digest of something else"))
             && all(t).iter().filter(|i| i.name != name).all(|i| plans_of(i).0 == 2 && i.behind.is_empty())
@@ -198,15 +203,28 @@
     assert!(code == 0 && text.contains("out"), "{code}: {text}");
     let (code, text) = frostctl(&fleet, &["audit", "at", "1s"]).await;
     assert!(code == 0 && text.contains(&name), "{code}: {text}");
-    let steps: Vec<(String, String)> = history(&fleet, 0)
-        .await
-        .0
-        .into_iter()
-        .filter(|r| r.instance == name && ["told", "out"].contains(&r.kind.as_str()))
-        .map(|r| (r.kind, r.now_is))
-        .collect();
-    let kinds: Vec<&str> = steps.iter().map(|s| s.0.as_str()).collect();
-    assert_eq!(kinds, ["told", "told", "out", "out"], "{steps:?}");
+    let rows = until("that it is back is entered", async || {
+        let rows = history(&fleet, 0).await.0;
+        let mine: Vec<Row> = rows.into_iter().filter(|r| r.instance == name).collect();
+        mine.iter().any(|r| r.kind == "out" && r.now_is == "in").then_some(mine)
+    })
+    .await;
+    // A later owner enters again that it is out, with nothing before it.
+    let outs: Vec<&Row> = rows.iter().filter(|r| r.kind == "out").collect();
+    let (out, back) = (outs[0], outs[outs.len() - 1]);
+    assert!(outs[1..].iter().all(|r| r.was != "in") && back.now_is == "in", "{rows:?}");
+    assert_eq!(outs.iter().filter(|r| r.now_is == "in").count(), 1, "{rows:?}");
+    let before: Vec<&Row> = rows.iter().filter(|r| r.life == out.life && r.number <= out.number).collect();
+    let kinds = ["told", "out"];
+    let steps: Vec<&str> =
+        before.iter().filter(|r| kinds.contains(&r.kind.as_str())).map(|r| r.now_is.as_str()).collect();
+    let all_three = ["told again", "sent all anew", out.now_is.as_str()];
+    assert!(steps.ends_with(&all_three), "{steps:?} {rows:?}");
+    // All steps come anew with another owner, which enters what it hears as news, and after a silence.
+    let taken_up = before.iter().filter(|r| r.kind == "plans" && r.was.is_empty()).count();
+    let silences = before.iter().filter(|r| r.kind == "heard" && r.now_is == "silent").count();
+    let rounds = steps.iter().filter(|s| **s == "told again").count();
+    assert!(rounds <= 1 + taken_up + silences, "{rounds} rounds: {rows:?}");
     assert_eq!(verify(&fleet, 0).await, []);
     fleet.stop().await;
 }
