Without a council too, a plan's figures stay in effect until the next are published

Cause: an agent without a council left a plan out of what it told until the plan's time had come, also where the plan had figures in effect before: gatekeepers fell back to their settings. docs/record.md promised the opposite.

Change: such an agent publishes what is due, when it sees that something is; published plans are what gatekeepers are told in both cases. Where the record takes no changes, what is published already goes on.

Measured: without_a_council_a_plan_that_is_set_for_later_leaves_what_is_in_effect fails on the former programs (revision 2 in effect at once); the record's and the fleet's files pass.

--- a/crates/agent/src/record.rs
+++ b/crates/agent/src/record.rs
@@ -534,7 +534,7 @@
             if !migrated {
                 migrated = self.seen(self.backend.migrate().await).is_some();
             }
-            let loaded = if migrated { self.seen(self.backend.run(Op::Load).await) } else { None };
+            let loaded = if migrated { self.seen(self.load().await) } else { None };
             let told = {
                 let mut upload = lock(&self.upload);
                 match &loaded {
--- a/crates/agent/tests/record.rs
+++ b/crates/agent/tests/record.rs
@@ -176,6 +176,24 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_council_a_plan_that_is_set_for_later_leaves_what_is_in_effect() {
+    let kept = Kept::postgres().await;
+    let mut town = kept.town(1).await;
+    let record = kept.open().await;
+    record.run(set(100, "one", 0)).await.expect("set");
+    town.gatekeepers[0].process.says("the plans of revision 1 are in effect").await.expect("published");
+    let Op::SetPlan(next, change) = set(200, "two", 1) else { unreachable!() };
+    let now_ms = i64::try_from(frostvale_standin::clock::unix_ms()).expect("a time");
+    let soon = frostvale_record::model::Plan { from_ms: now_ms + 2000, ..next };
+    record.run(Op::SetPlan(soon, change)).await.expect("set");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let log = town.gatekeepers[0].process.log();
+    assert!(log.iter().all(|l| !l.contains("revision 2 are in effect")), "{log:?}");
+    town.gatekeepers[0].process.says("the plans of revision 2 are in effect").await.expect("at its time");
+    town.stop().await;
+}
+
 // ---- the database is slow, hung or dead ----
 
 /// RESP2 requests are served as before, use waits in the spool, and all of it lands when the database is back.
--- a/crates/record/src/fleet.rs
+++ b/crates/record/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::error::Error;
 use crate::model::{Export, ExportRow, HistoryRow};
 use crate::ops::{Reply, Row, Tx, Value, history_ends};
-use crate::publish;
+use crate::publish::{Publisher, publish};
 use crate::sql;
 use frostvale_owner::Fence;
 
@@ -88,7 +88,7 @@
         Work::RollUp { most } => roll_up(tx, *most).await,
         Work::FindGaps { silent } => find_gaps(tx, silent, now_ms).await,
         Work::Retain { before_ms, most } => retain(tx, *before_ms, *most).await,
-        Work::Publish => publish::publish(tx, fence, now_ms).await,
+        Work::Publish => publish(tx, Publisher { epoch, name: fence.owner() }, now_ms).await,
         Work::PrepareExport { before_ms, most } => prepare_export(tx, *before_ms, *most, now_ms).await,
         Work::AppendHistory { after, rows } => append_history(tx, after, rows).await,
         Work::RetainHistory { before_ms } => {
--- a/crates/record/src/model.rs
+++ b/crates/record/src/model.rs
@@ -131,6 +131,17 @@
     pub fences: Vec<Standing>,
 }
 
+impl Snapshot {
+    /// Whether a plan's time has come that is not published yet.
+    #[must_use]
+    pub fn has_due(&self, now_ms: i64) -> bool {
+        let is_published = |plan: &Kept<Plan>| {
+            self.published.iter().any(|p| p.plan.name == plan.it.name && p.revision == plan.revision)
+        };
+        self.plans.iter().any(|plan| plan.it.from_ms <= now_ms && !is_published(plan))
+    }
+}
+
 /// A plan in effect: its figures stay until the next ones are published, whatever was set meanwhile.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Published {
--- a/crates/record/src/ops.rs
+++ b/crates/record/src/ops.rs
@@ -157,6 +157,11 @@
     Instances,
     /// Reads the latest of the audit trail.
     Audit(i64),
+    /// Publishes the plans whose time has come, where no council says who does: any agent may, and it is done once.
+    PublishDue {
+        /// When, UTC ms.
+        now_ms: i64,
+    },
     /// Something on behalf of the fleet, which only a live lease can ask for.
     ForFleet {
         /// The proof.
@@ -192,6 +197,7 @@
             Op::SetPlan(..)
                 | Op::SetShop(..)
                 | Op::SetOverride(..)
+                | Op::PublishDue { .. }
                 | Op::ForFleet { work: Work::Publish, .. }
         )
     }
@@ -320,6 +326,9 @@
             tx.execute(sql::INSTANCE_SEEN, args![name, host, *epoch_ms, *now_ms, *revision]).await?;
             Ok(Reply::Done)
         }
+        Op::PublishDue { now_ms } => {
+            publish::publish(tx, publish::Publisher { epoch: 0, name: "the agents" }, *now_ms).await
+        }
         Op::ForFleet { fence, work, now_ms } => fleet::apply(tx, fence, work, *now_ms).await,
         Op::HistoryEnds => {
             let (base, head) = history_ends(tx).await?;
--- a/crates/record/src/publish.rs
+++ b/crates/record/src/publish.rs
@@ -7,7 +7,6 @@
 use crate::model::{Change, Plan, Published};
 use crate::ops::{Reply, Row, Tx, Value, audit, next};
 use crate::sql;
-use frostvale_owner::Fence;
 use serde_json::json;
 
 /// A plan's figures, as the audit trail keeps them.
@@ -66,33 +65,39 @@
     rows.first().map_or(Ok(0), |row| row.int(0))
 }
 
+/// In whose name plans are published.
+pub(crate) struct Publisher<'a> {
+    /// The epoch of the publish duty; 0 where no council governs.
+    pub(crate) epoch: i64,
+    /// For the audit trail.
+    pub(crate) name: &'a str,
+}
+
 /// Publishes the plans whose time has come, and moves the revision of the published plans if any changed. A plan that
 /// is published after one that was set later has an old revision of its own: the set is then named by a new one.
 ///
 /// # Errors
 /// As the database says.
-pub(crate) async fn publish<T: Tx>(tx: &mut T, fence: &Fence, now_ms: i64) -> Result<Reply, Error> {
+pub(crate) async fn publish<T: Tx>(tx: &mut T, by: Publisher<'_>, now_ms: i64) -> Result<Reply, Error> {
     let before = revision(tx).await?;
-    let epoch = i64::try_from(fence.epoch()).unwrap_or(i64::MAX);
-    let epoch_and_time = vec![Value::Int(epoch), Value::Int(now_ms)];
-    let changed = tx.execute(sql::PUBLISH, epoch_and_time).await?;
+    let changed = tx.execute(sql::PUBLISH, vec![Value::Int(by.epoch), Value::Int(now_ms)]).await?;
     if changed == 0 {
         return Ok(Reply::Did(0));
     }
     let newest = newest(tx).await?;
-    let names_the_set = if newest > before { newest } else { named_anew(tx, fence, now_ms).await? };
+    let names_the_set = if newest > before { newest } else { named_anew(tx, by.name, now_ms).await? };
     tx.execute(sql::PUBLISHED_REVISION_SET, vec![Value::Int(names_the_set)]).await?;
     Ok(Reply::Did(changed))
 }
 
 /// Takes the next revision for the published plans, with its entry in the audit trail.
-async fn named_anew<T: Tx>(tx: &mut T, fence: &Fence, now_ms: i64) -> Result<i64, Error> {
+async fn named_anew<T: Tx>(tx: &mut T, by: &str, now_ms: i64) -> Result<i64, Error> {
     let revision = next(tx).await?;
     let change = Change {
         id: String::new(),
         base: 0,
-        by: fence.owner().to_string(),
-        source: fence.duty().to_string(),
+        by: by.to_string(),
+        source: "publish".into(),
         why: "a plan whose time has come".into(),
         at_ms: now_ms,
     };
