Tests start no program while they probe a port, which it would hold until its exec

Cause: a port is found to be free by binding it. A program that another test starts just then inherits the socket, and holds the port until its exec; the gatekeeper that the port was meant for can't bind it.

Change: probing and starting exclude each other, in the stand-ins' towns and in the gatekeeper's rig.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -7,8 +7,9 @@
 pub mod places;
 
 use crate::gate::{Gate, Way};
+use crate::ports::free_port;
 use crate::postgres::{Login, Postgres};
-use crate::town::{self, Process, Town, free_port, program};
+use crate::town::{self, Process, Town, program};
 use rusqlite::Connection;
 use std::collections::BTreeMap;
 use std::fs;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gate;
 pub mod http;
 pub mod load;
+mod ports;
 pub mod postgres;
 pub mod resp;
 pub mod rls;
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -8,10 +8,11 @@
 use crate::discovery::Discovery;
 use crate::formula::{Formula, Options, Rack};
 use crate::load::Shop;
+use crate::ports::{self, free_port};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -153,7 +154,7 @@
         // A signal to this process's group, as Ctrl-C sends it, is not theirs: the town ends in its order.
         command.process_group(0);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
-        let mut child = command.spawn().map_err(|e| format!("{name}: cannot be started: {e}"))?;
+        let mut child = ports::start(&mut command).map_err(|e| format!("{name}: cannot be started: {e}"))?;
         let Some(stderr) = child.stderr.take() else { return Err(format!("{name}: has no log")) };
         let mut file = tokio::fs::OpenOptions::new()
             .create(true)
@@ -228,7 +229,11 @@
     /// Sends it a signal by its number's name, as `kill -NAME` does.
     pub async fn signal(&self, name: &str) {
         if let Some(pid) = self.pid() {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status().await;
+            let mut kill = Command::new("kill");
+            kill.arg(format!("-{name}")).arg(pid.to_string());
+            if let Ok(mut child) = ports::start(&mut kill) {
+                let _ = child.wait().await;
+            }
         }
     }
 
@@ -325,25 +330,6 @@
     }
 }
 
-/// A port for a program that starts later. Those that the system deals out to whoever binds port 0 lie above all of these,
-/// so that none of these is given away in between; no two calls in one process give the same.
-pub(crate) fn free_port(ip: IpAddr) -> Result<u16, String> {
-    const FROM: u32 = 10_000;
-    const COUNT: u32 = 20_000;
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let mut last = None;
-    for _ in 0..1000 {
-        let n = std::process::id().wrapping_mul(331).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = (FROM + n % COUNT) as u16;
-        // Free for both: notes go by UDP to the same address.
-        match TcpListener::bind((ip, port)).and_then(|_| UdpSocket::bind((ip, port))) {
-            Ok(_) => return Ok(port),
-            Err(e) => last = Some(e),
-        }
-    }
-    Err(format!("no free port at {ip}: {}", last.map_or(String::new(), |e| e.to_string())))
-}
-
 impl Town {
     /// Starts it, and waits until all serve.
     ///
--- a/tests/node/rig.rs
+++ b/tests/node/rig.rs
@@ -347,11 +347,15 @@
     watch.write_all(chunk.as_bytes()).expect("written");
 }
 
+/// Held while a port is probed, and while a process is started: it would inherit the socket of the probe.
+static PROBE_OR_START: Mutex<()> = Mutex::new(());
+
 /// A port that is free and that the kernel gives nobody by itself, so that a process can come back to it.
 pub fn free_port() -> SocketAddr {
     const FROM: u32 = 20_000;
     const COUNT: u32 = 12_000;
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    let _nothing_starts = PROBE_OR_START.lock().expect("whole");
     for _ in 0..COUNT {
         let number = std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         let at = SocketAddr::from(([127, 0, 0, 1], (FROM + number % COUNT) as u16));
@@ -447,6 +451,7 @@
 /// Starts it and waits for nothing.
 pub fn spawn(config: &str, shell: &str) -> Node {
     let path = write_config(config);
+    let nothing_is_probed = PROBE_OR_START.lock().expect("whole");
     let mut child = Command::new("/bin/sh")
         .arg("-c")
         .arg(format!("{shell} {}", env!("CARGO_BIN_EXE_frostvale")))
@@ -454,6 +459,7 @@
         .stderr(Stdio::piped())
         .spawn()
         .expect("the gatekeeper starts");
+    drop(nothing_is_probed);
     let log = Arc::new(Mutex::new(Vec::new()));
     let (tell, lines) = channel();
     let errors = BufReader::new(child.stderr.take().expect("piped"));
