--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -125,7 +125,8 @@
         if write.write_all(&all).is_err() {
             return record.line(format!("client of n{node}: the connection broke while it wrote"));
         }
-        record.line(format!("client of n{node} sent {AT_ONCE} requests at once, from {}", requests[0].id));
+        let ids: Vec<&str> = requests.iter().map(|r| r.id.as_str()).collect();
+        record.line(format!("client of n{node} sent {AT_ONCE} requests at once: {}", ids.join(" ")));
     }
     for (k, Request { id, is_read, text }) in requests.iter().enumerate() {
         if !trouble() {
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -96,6 +96,7 @@
                 Err(_) => continue,
             },
         };
+        record.line(format!("a client sends {id} to n{node}"));
         if read.get_mut().write_all(&text).is_err() {
             continue;
         }
