Review: scripts end what they started also when ended from outside

Cause: a script that got TERM in mid-run left its program, gatekeepers and agent running, and its clean-up went by ids of processes that had already ended.

--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -32,6 +32,7 @@
     fn drop(&mut self) {
         let _ = self.0.kill();
         let _ = self.0.wait();
+        let _ = std::fs::remove_file(case_folder().join("agent.pid"));
     }
 }
 
@@ -226,6 +227,8 @@
     if !wait_for_end(&mut agent.0, ms(15_000)) {
         give_up(&record, &mut nodes, "the agent does not end after SIGTERM");
     }
+    nodes.clear();
+    drop(agent);
     let ran = lock(&ran).1.clone();
     let Some(held) = recorded(&url) else { give_up(&record, &mut nodes, "the record cannot be read") };
     record.say(format!("units that the formula servers ran, by class: {ran:?}"));
--- a/review/lib/common.rs
+++ b/review/lib/common.rs
@@ -432,12 +432,15 @@
     pub at: SocketAddr,
     pub child: Child,
     config: PathBuf,
+    /// Holds its process id for as long as it runs.
+    pid_file: PathBuf,
 }
 
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.pid_file);
         let _ = std::fs::remove_file(&self.config);
     }
 }
@@ -509,8 +512,9 @@
         command.env("GW_EXTRA", extra);
     }
     let child = command.spawn()?;
-    let _ = std::fs::write(folder.join(format!("n{me}-{start}.pid")), child.id().to_string());
-    Ok(Node { at: *at, child, config })
+    let pid_file = folder.join(format!("n{me}-{start}.pid"));
+    let _ = std::fs::write(&pid_file, child.id().to_string());
+    Ok(Node { at: *at, child, config, pid_file })
 }
 
 /// Sends a signal to a process that this case started.
--- a/review/lib/run-case.sh
+++ b/review/lib/run-case.sh
@@ -9,12 +9,24 @@
     exit 2
 fi
 CASE_TMP=$(mktemp -d) || exit 2
-trap 'rm -rf "$CASE_TMP"' EXIT
+job=
+# The case's program ends what it started. This is for what is left where it, or this script, is ended from outside: each
+# process that still runs has a file with its id.
+finish() {
+    [ -z "$job" ] || { kill "$job" 2>/dev/null; wait "$job" 2>/dev/null; }
+    for file in "$CASE_TMP"/*.pid; do
+        [ ! -f "$file" ] || kill -9 "$(cat "$file")" 2>/dev/null
+    done
+    rm -rf "$CASE_TMP"
+}
+trap finish EXIT
+trap 'exit 2' HUP INT TERM
 export ROOT RECORD CASE_TMP
 cd "$ROOT" || exit 2
-# The case's program kills its gatekeepers itself; its process group is the safety net.
-timeout --kill-after=2 115 "$program"
+timeout --kill-after=2 115 "$program" &
+job=$!
+wait "$job"
 code=$?
+job=
 case $code in 0 | 1 | 2) ;; *) code=2 ;; esac
-for pid in $(cat "$CASE_TMP"/*.pid 2>/dev/null); do kill -9 "$pid" 2>/dev/null; done
 exit $code
