A connection is no longer closed over answers that the gatekeeper itself holds back

Cause: enforce_memory_limits held the limit of 1 MiB "that the client has not read" against complete answers that wait for an earlier one.

Change: answers have a module of their own and stay in their slots until the socket takes them. While over 1 MiB of them are held no further command is started. A client is cut off only for what waits for nothing but itself: the socket takes nothing for 2.5 s, or over 1 MiB waits for it for as long. An answer that does not fit into the memory of all connections is replaced by an error, where the connection was ended. Closes are logged with their figures and counted.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -6,14 +6,16 @@
 //! before: no client waits for answers on a connection that it has closed for sending, so starting work for
 //! it would be wasted.
 
+mod answers;
+
 use crate::budget::MemoryShare;
 use crate::client_request::ClientRequest;
 use crate::gatekeeper::{ResponseSink, Shared};
 use crate::receive_time::{ConnectionId, ReceiveTimes};
 use crate::resp::{self, Command, ProtocolError};
+use answers::AnswerQueue;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::pin::pin;
@@ -25,11 +27,11 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Commands of one connection that may be in flight at once. Further ones stay in the socket's receive
-/// buffer.
-const MAX_PIPELINED_COMMANDS: usize = 128;
-/// Limit of answers that the client has not read. A connection above it is closed.
+/// Limit of answers that wait for nothing but the client. A connection that stays above it for
+/// `COMMAND_TIMEOUT` is closed.
 const MAX_UNREAD_BYTES: usize = 1 << 20;
+/// Sent in place of an answer that does not fit into the memory left for answers: the request has failed.
+const DISCARDED_ANSWER: &[u8] = b"-ERR no memory left to keep the answer\r\n";
 /// Read buffer that a connection keeps between commands, and may use even when the memory budget is
 /// exhausted.
 const RETAINED_BUFFER_BYTES: usize = 16 * 1024;
@@ -77,28 +79,25 @@
     Next,
 }
 
-/// Position of one answer in the connection's answer order.
-enum AnswerSlot {
-    Pending(u64),
-    Ready(Vec<u8>),
-}
-
-#[derive(Default)]
-struct Output {
-    slots: VecDeque<AnswerSlot>,
-    /// Bytes that the socket has not taken yet.
-    bytes: Vec<u8>,
-    /// Total size of the answers that are complete but wait for an earlier one.
-    ready_bytes: usize,
-    /// Time since which the socket has taken none of `bytes`.
-    blocked_since: Option<Instant>,
+/// What a connection reports at its end.
+pub struct ConnectionSummary {
+    /// Whether it was closed because the client did not read its answers.
+    pub is_unread: bool,
+    /// Number of answers that were replaced by an error for want of memory.
+    pub discarded_answers: u64,
 }
 
 /// A client's connection. The table in `clients` and the task that serves it share it.
 pub struct Client {
     stream: TcpStream,
     state: Cell<ConnectionState>,
-    out: RefCell<Output>,
+    answers: RefCell<AnswerQueue>,
+    /// Time since which answers of over `MAX_UNREAD_BYTES` wait for the client.
+    over_unread_limit_since: Cell<Option<Instant>>,
+    /// Whether it was closed because the client did not read its answers.
+    is_unread: Cell<bool>,
+    /// Number of answers that were replaced by `DISCARDED_ANSWER`.
+    discarded_answers: Cell<u64>,
     /// What is expected from the client, and since when.
     expected: Cell<(ExpectedCommand, Instant)>,
     wake: Notify,
@@ -116,20 +115,18 @@
         if let (ExpectedCommand::Next, _) = self.expected.get() {
             self.expected.set((ExpectedCommand::Next, Instant::now()));
         }
-        let mut out = self.out.borrow_mut();
-        let was_full = out.slots.len() >= MAX_PIPELINED_COMMANDS;
-        if matches!(out.slots.front(), Some(AnswerSlot::Pending(first)) if *first == id) {
-            out.slots.pop_front();
-            self.write(&mut out, bytes);
-            self.write_ready_answers(&mut out);
-        } else if let Some(slot) =
-            out.slots.iter_mut().find(|s| matches!(s, AnswerSlot::Pending(k) if *k == id))
-        {
-            *slot = AnswerSlot::Ready(bytes.to_vec());
-            out.ready_bytes += bytes.len();
+        let mut answers = self.answers.borrow_mut();
+        let had_room = answers.has_room();
+        if answers.is_next(id) {
+            answers.remove_first();
+            self.write_or_keep(&mut answers, bytes);
+            self.write_ready_answers(&mut answers);
+        } else {
+            let kept = self.fit_into_memory(&answers, bytes).to_vec();
+            answers.complete(id, kept);
         }
-        self.enforce_memory_limits(&out);
-        if was_full && out.slots.len() < MAX_PIPELINED_COMMANDS {
+        self.update_backlog(&answers);
+        if !had_room && answers.has_room() {
             self.wake.notify_one();
         }
     }
@@ -160,7 +157,10 @@
             connection_id: ConnectionId::of(&stream),
             stream,
             state: Cell::new(ConnectionState::Open),
-            out: RefCell::default(),
+            answers: RefCell::default(),
+            over_unread_limit_since: Cell::new(None),
+            is_unread: Cell::new(false),
+            discarded_answers: Cell::new(0),
             expected: Cell::new((ExpectedCommand::First, Instant::now())),
             wake: Notify::new(),
             slot_freed,
@@ -203,90 +203,95 @@
     /// Removes all answer slots and returns the ids of the requests that are still pending, once the
     /// connection is over.
     pub fn take_pending(&self) -> Vec<u64> {
-        let slots = std::mem::take(&mut self.out.borrow_mut().slots);
-        slots
-            .into_iter()
-            .filter_map(|slot| if let AnswerSlot::Pending(id) = slot { Some(id) } else { None })
-            .collect()
+        self.answers.borrow_mut().take_pending()
+    }
+
+    /// What there is to report once the connection is over.
+    pub fn summary(&self) -> ConnectionSummary {
+        ConnectionSummary { is_unread: self.is_unread.get(), discarded_answers: self.discarded_answers.get() }
     }
 
     /// Queues an answer that needs no request, in its turn.
     fn respond(&self, bytes: &[u8]) {
-        let mut out = self.out.borrow_mut();
-        if out.slots.is_empty() {
-            self.write(&mut out, bytes);
+        let mut answers = self.answers.borrow_mut();
+        if answers.is_empty() {
+            self.write_or_keep(&mut answers, bytes);
         } else {
-            out.slots.push_back(AnswerSlot::Ready(bytes.to_vec()));
-            out.ready_bytes += bytes.len();
+            let kept = self.fit_into_memory(&answers, bytes).to_vec();
+            answers.push_ready(kept);
         }
-        self.enforce_memory_limits(&out);
+        self.update_backlog(&answers);
     }
 
-    /// Writes all answers that no longer wait for an earlier one, in a single write.
-    fn write_ready_answers(&self, out: &mut Output) {
-        let mut all = Vec::new();
-        while matches!(out.slots.front(), Some(AnswerSlot::Ready(_)))
-            && let Some(AnswerSlot::Ready(bytes)) = out.slots.pop_front()
-        {
-            out.ready_bytes -= bytes.len();
-            all.extend_from_slice(&bytes);
+    /// Writes to the socket. Returns how many bytes it has taken.
+    fn try_write(&self, bytes: &[u8]) -> usize {
+        if self.state.get() == ConnectionState::Closed {
+            return 0;
         }
-        if !all.is_empty() {
-            self.write(out, &all);
+        match self.stream.try_write(bytes) {
+            Ok(count) => count,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
+            Err(_) => {
+                self.advance_to(ConnectionState::Closed);
+                0
+            }
         }
     }
 
-    /// Writes bytes to the socket. What the socket does not take is kept for the connection's task.
-    fn write(&self, out: &mut Output, bytes: &[u8]) {
-        let written = if out.bytes.is_empty() && self.state.get() != ConnectionState::Closed {
-            match self.stream.try_write(bytes) {
-                Ok(n) => n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
-                Err(_) => {
-                    self.advance_to(ConnectionState::Closed);
-                    0
-                }
-            }
-        } else {
-            0
+    /// Writes an answer before which there is no other. What the socket does not take is kept for the
+    /// connection's task.
+    fn write_or_keep(&self, answers: &mut AnswerQueue, bytes: &[u8]) {
+        let rest = match self.try_write(bytes) {
+            0 => self.fit_into_memory(answers, bytes),
+            count => &bytes[count..],
         };
-        out.bytes.extend_from_slice(&bytes[written..]);
-        if !out.bytes.is_empty() && out.blocked_since.is_none() {
-            out.blocked_since = Some(Instant::now());
+        answers.set_unwritten(rest.to_vec());
+    }
+
+    /// Writes the answers that no longer wait for an earlier one, until the socket takes no more.
+    fn write_ready_answers(&self, answers: &mut AnswerQueue) {
+        while answers.unwritten().is_empty() {
+            let mut joined = answers.take_ready();
+            if joined.is_empty() {
+                return;
+            }
+            let count = self.try_write(&joined);
+            answers.set_unwritten(joined.split_off(count));
         }
     }
 
-    /// Closes the connection if its unread answers are above the limits, since a client that sends and never
-    /// reads must not fill the memory. Wakes the connection's task where it has something to do.
-    fn enforce_memory_limits(&self, out: &Output) {
-        let unread = out.bytes.len() + out.ready_bytes;
-        if !self.unread.update(unread, RETAINED_BUFFER_BYTES) || unread > MAX_UNREAD_BYTES {
-            self.advance_to(ConnectionState::Closed);
+    /// Returns an answer that has to be kept here, or an error in its place if all connections together hold
+    /// too many bytes of answers. Ending the connection instead would lose its other requests, which may be
+    /// kept for an earlier one and not for want of a client that reads.
+    fn fit_into_memory<'a>(&self, answers: &AnswerQueue, bytes: &'a [u8]) -> &'a [u8] {
+        let backlog = answers.backlog_bytes() + bytes.len();
+        if bytes.len() <= DISCARDED_ANSWER.len() || self.unread.update(backlog, RETAINED_BUFFER_BYTES) {
+            return bytes;
         }
-        if !out.bytes.is_empty() || self.state.get() != ConnectionState::Open {
+        self.discarded_answers.set(self.discarded_answers.get() + 1);
+        DISCARDED_ANSWER
+    }
+
+    /// Reports the bytes held to the budget and wakes the connection's task where it has something to do.
+    fn update_backlog(&self, answers: &AnswerQueue) {
+        self.unread.update(answers.backlog_bytes(), RETAINED_BUFFER_BYTES);
+        if !answers.unwritten().is_empty() || self.state.get() != ConnectionState::Open {
             self.wake.notify_one();
         }
     }
 
-    /// Writes the stored bytes as far as the socket takes them.
+    /// Writes the kept bytes and further answers as far as the socket takes them.
     fn flush(&self) {
-        let mut out = self.out.borrow_mut();
-        match self.stream.try_write(&out.bytes) {
-            Ok(n) if n == out.bytes.len() => (out.bytes, out.blocked_since) = (Vec::new(), None),
-            Ok(n) => {
-                out.bytes.drain(..n);
-                out.blocked_since = Some(Instant::now());
-            }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => self.advance_to(ConnectionState::Closed),
-        }
-        self.unread.update(out.bytes.len() + out.ready_bytes, RETAINED_BUFFER_BYTES);
+        let mut answers = self.answers.borrow_mut();
+        let count = self.try_write(answers.unwritten());
+        answers.record_written(count);
+        self.write_ready_answers(&mut answers);
+        self.unread.update(answers.backlog_bytes(), RETAINED_BUFFER_BYTES);
     }
 
     /// Whether no answer is pending or unwritten.
     fn is_drained(&self) -> bool {
-        let out = self.out.borrow();
-        out.slots.is_empty() && out.bytes.is_empty()
+        self.answers.borrow().is_empty()
     }
 
     /// Answers with a protocol error after all pending answers, then closes the connection.
@@ -295,12 +300,32 @@
         self.advance_to(ConnectionState::Closing);
     }
 
+    /// Closes the connection of a client that does not read its answers.
+    fn close_unread(&self) {
+        let answers = self.answers.borrow();
+        tracing::debug!(
+            unread_bytes = answers.unread_bytes(),
+            held_bytes = answers.backlog_bytes() - answers.unread_bytes(),
+            pending = answers.pending_count(),
+            "closed a connection: its client does not read its answers"
+        );
+        self.is_unread.set(true);
+        self.advance_to(ConnectionState::Closed);
+    }
+
     /// Closes the connection if one of its time limits has passed. `idle_limit` is how long it may stay
     /// without a command.
     pub fn check_timeouts(&self, now: Instant, idle_limit: Duration) {
         let has_passed = |since: Instant, limit: Duration| now.saturating_duration_since(since) > limit;
-        if self.out.borrow().blocked_since.is_some_and(|since| has_passed(since, COMMAND_TIMEOUT)) {
-            return self.advance_to(ConnectionState::Closed);
+        let (blocked_since, over_limit_since) = {
+            let answers = self.answers.borrow();
+            let is_over_limit = answers.unread_bytes() > MAX_UNREAD_BYTES;
+            let since = self.over_unread_limit_since.get().unwrap_or(now);
+            self.over_unread_limit_since.set(is_over_limit.then_some(since));
+            (answers.blocked_since(), self.over_unread_limit_since.get())
+        };
+        if [blocked_since, over_limit_since].into_iter().flatten().any(|s| has_passed(s, COMMAND_TIMEOUT)) {
+            return self.close_unread();
         }
         if self.state.get() != ConnectionState::Open || !self.is_drained() {
             return;
@@ -374,7 +399,7 @@
                 return Err(());
             }
             // Commands that arrived while the pipeline was full are started once it has room.
-            let has_room = self.out.borrow().slots.len() < MAX_PIPELINED_COMMANDS;
+            let has_room = self.answers.borrow().has_room();
             if has_room && !bytes.is_empty() {
                 match self.start_commands(gatekeeper, &mut bytes, received_at) {
                     Ok(true) => continue,
@@ -428,7 +453,7 @@
             }
             let can_read = has_room
                 && (state == ConnectionState::Open || (state == ConnectionState::Stopping && is_drained));
-            let has_unwritten = !self.out.borrow().bytes.is_empty();
+            let has_unwritten = !self.answers.borrow().unwritten().is_empty();
             tokio::select! {
                 connected = self.readable(), if can_read => {
                     if !connected {
@@ -492,7 +517,7 @@
     ) -> Result<bool, ProtocolError> {
         let mut at = 0;
         let result = loop {
-            if self.out.borrow().slots.len() >= MAX_PIPELINED_COMMANDS {
+            if !self.answers.borrow().has_room() {
                 break Ok(());
             }
             match resp::command(&bytes[at..]) {
@@ -546,7 +571,7 @@
                         return self.respond(b"-BUSY\r\n");
                     }
                     let id = gatekeeper.next_id();
-                    self.out.borrow_mut().slots.push_back(AnswerSlot::Pending(id));
+                    self.answers.borrow_mut().push_pending(id);
                     gatekeeper.handle_request(id, request, self.clone());
                 }
                 Err(what) => self.respond(format!("-ERR {what}\r\n").as_bytes()),
@@ -562,7 +587,7 @@
             }
             let mut gatekeeper = gatekeeper.borrow_mut();
             let id = gatekeeper.next_id();
-            self.out.borrow_mut().slots.push_back(AnswerSlot::Pending(id));
+            self.answers.borrow_mut().push_pending(id);
             gatekeeper.answer_once_serving(id, self.clone(), pong);
         } else {
             self.respond(b"-ERR unknown command\r\n");
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -192,6 +192,7 @@
             for id in client.take_pending() {
                 gatekeeper.borrow_mut().client_disconnected(id);
             }
+            gatekeeper.borrow_mut().metrics.connection_ended(&client.summary());
             clients.all.borrow_mut().remove(&number);
             drop(client);
             clients.slot_freed.notify_one();
--- a/src/bin/frostvale/metrics.rs
+++ b/src/bin/frostvale/metrics.rs
@@ -1,6 +1,7 @@
 //! Counts of rare events that explain late answers. They are logged once a minute if they have changed, and
 //! at shutdown.
 
+use crate::client::ConnectionSummary;
 use frostvale::RefusalReason;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -28,6 +29,10 @@
     answers_worst_ms: u64,
     /// Requests that were refused before the first list had arrived.
     refused_at_start: u64,
+    /// Connections that were closed because their clients did not read, and answers that were replaced by an
+    /// error for want of memory.
+    clients_unread: u64,
+    answers_discarded: u64,
     /// Requests that the decision module refused, by reason.
     refused: HashMap<RefusalReason, u64>,
 }
@@ -92,6 +97,12 @@
         self.answers_worst_ms = self.answers_worst_ms.max(late_ms as u64);
     }
 
+    /// Counts what a client's connection reports at its end.
+    pub fn connection_ended(&mut self, summary: &ConnectionSummary) {
+        self.clients_unread += u64::from(summary.is_unread);
+        self.answers_discarded += summary.discarded_answers;
+    }
+
     /// Counts a request that was refused before the first list had arrived.
     pub fn refused_at_start(&mut self) {
         self.refused_at_start += 1;
@@ -129,6 +140,8 @@
             answers_late = self.answers_late,
             answers_worst_ms = self.answers_worst_ms,
             refused_at_start = self.refused_at_start,
+            clients_unread = self.clients_unread,
+            answers_discarded = self.answers_discarded,
             refused = %self.refusals(),
             "counts since the start"
         );
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod large_updates;
 mod malformed;
+mod pipelines;
 mod settings;
 mod shutdown;
 mod sockets;
