Commands behind a long one are answered also where memory for commands has run out

The memory for incomplete commands was also held against commands that were only not started, as the pipeline was full; and where it was used up, the connection was ended with an error, and what the client had sent behind the long command got no answer.

Change: while the pipeline is full nothing is held against the connection. A command for which there is no memory is read over, refused with -BUSY when it is complete, and the commands behind it go on. The time for the rest of a command starts anew when a full pipeline has room again, as nothing was read before (by reading; no test can force the turn).

commands_behind_a_long_one_are_answered_when_memory_for_commands_is_used_up failed on ("-ERR protocol error: no room for so long a command now", then the end), and passes. incomplete_commands_share_one_memory_limit passes unchanged.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -12,7 +12,7 @@
 use crate::client_request::ClientRequest;
 use crate::gatekeeper::{ResponseSink, Shared};
 use crate::receive_time::{ConnectionId, ReceiveTimes};
-use crate::resp::{self, Command, ProtocolError};
+use crate::resp::{self, Command, CommandSkipper, ProtocolError};
 use answers::AnswerQueue;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -94,6 +94,8 @@
     answers: RefCell<AnswerQueue>,
     /// Time since which answers of over `MAX_UNREAD_BYTES` wait for the client.
     over_unread_limit_since: Cell<Option<Instant>>,
+    /// Present while a command is discarded for which there is no memory.
+    skipper: RefCell<Option<CommandSkipper>>,
     /// Whether it was closed because the client did not read its answers.
     is_unread: Cell<bool>,
     /// Number of answers that were replaced by `DISCARDED_ANSWER`.
@@ -127,6 +129,7 @@
         }
         self.update_backlog(&answers);
         if !had_room && answers.has_room() {
+            self.restart_command_time();
             self.wake.notify_one();
         }
     }
@@ -159,6 +162,7 @@
             state: Cell::new(ConnectionState::Open),
             answers: RefCell::default(),
             over_unread_limit_since: Cell::new(None),
+            skipper: RefCell::default(),
             is_unread: Cell::new(false),
             discarded_answers: Cell::new(0),
             expected: Cell::new((ExpectedCommand::First, Instant::now())),
@@ -283,12 +287,24 @@
     /// Writes the kept bytes and further answers as far as the socket takes them.
     fn flush(&self) {
         let mut answers = self.answers.borrow_mut();
+        let had_room = answers.has_room();
         let count = self.try_write(answers.unwritten());
         answers.record_written(count);
         self.write_ready_answers(&mut answers);
+        if !had_room && answers.has_room() {
+            self.restart_command_time();
+        }
         self.unread.update(answers.backlog_bytes(), RETAINED_BUFFER_BYTES);
     }
 
+    /// Gives the client the whole time for the rest of a command: none of it was read while the pipeline was
+    /// full.
+    fn restart_command_time(&self) {
+        if let (ExpectedCommand::RestOfLater, _) = self.expected.get() {
+            self.expected.set((ExpectedCommand::RestOfLater, Instant::now()));
+        }
+    }
+
     /// Whether no answer is pending or unwritten.
     fn is_drained(&self) -> bool {
         self.answers.borrow().is_empty()
@@ -334,7 +350,10 @@
             (ExpectedCommand::RestOfFirst | ExpectedCommand::RestOfLater, since)
                 if has_passed(since, COMMAND_TIMEOUT) =>
             {
-                self.close_with_error("no whole command in time")
+                self.close_with_error(match self.is_skipping() {
+                    true => "no room for so long a command now, and no whole command in time",
+                    false => "no whole command in time",
+                })
             }
             (ExpectedCommand::First, since) if has_passed(since, COMMAND_TIMEOUT) => {
                 self.advance_to(ConnectionState::ClosingIdle)
@@ -401,7 +420,11 @@
             // Commands that arrived while the pipeline was full are started once it has room.
             let has_room = self.answers.borrow().has_room();
             if has_room && !bytes.is_empty() {
-                match self.start_commands(gatekeeper, &mut bytes, received_at) {
+                let started = match self.is_skipping() {
+                    true => self.skip_command(&mut bytes),
+                    false => self.start_commands(gatekeeper, &mut bytes, received_at),
+                };
+                match started {
                     Ok(true) => continue,
                     Ok(false) => match self.expected.get() {
                         (ExpectedCommand::Next, _) => {
@@ -418,9 +441,16 @@
                     }
                 }
             }
-            if !self.reading.update(bytes.capacity(), RETAINED_BUFFER_BYTES) {
-                bytes = Vec::new();
-                self.close_with_error("no room for so long a command now");
+            // While the pipeline is full, `bytes` may hold commands that are only not started yet.
+            if !self.reading.update(bytes.capacity(), RETAINED_BUFFER_BYTES) && has_room {
+                bytes.shrink_to_fit();
+                let is_too_long = !self.reading.update(bytes.capacity(), RETAINED_BUFFER_BYTES);
+                if is_too_long && !self.is_skipping() {
+                    self.skipper.replace(CommandSkipper::start(&mut bytes).unwrap_or_default());
+                    if self.is_skipping() {
+                        continue;
+                    }
+                }
             }
             let (is_drained, state) = (self.is_drained(), self.state.get());
             match state {
@@ -540,6 +570,27 @@
         result.map(|()| at > 0)
     }
 
+    /// Whether a command is being discarded.
+    fn is_skipping(&self) -> bool {
+        self.skipper.borrow().is_some()
+    }
+
+    /// Discards what has arrived of a command for which there is no memory, and refuses it once it is
+    /// complete. The commands behind it are not affected. Returns whether it is complete.
+    fn skip_command(&self, bytes: &mut Vec<u8>) -> Result<bool, ProtocolError> {
+        let is_complete =
+            self.skipper.borrow_mut().as_mut().map_or(Ok(true), |skipper| skipper.skip(bytes))?;
+        if bytes.is_empty() {
+            *bytes = Vec::new();
+        }
+        if is_complete {
+            self.skipper.replace(None);
+            self.expected.set((ExpectedCommand::Next, Instant::now()));
+            self.respond(b"-BUSY\r\n");
+        }
+        Ok(is_complete)
+    }
+
     /// Parses and starts one command, or answers it at once.
     fn start_command(
         self: &Rc<Client>,
--- a/src/bin/frostvale/resp.rs
+++ b/src/bin/frostvale/resp.rs
@@ -12,6 +12,8 @@
 const MAX_ARRAY_LENGTH: usize = 64;
 /// Length limit of a whole command; no valid command is longer.
 pub const MAX_COMMAND_BYTES: usize = MAX_VALUE_BYTES + 8 * 1024;
+/// The end of a line and of a bulk string.
+const LINE_END: &[u8] = b"\r\n";
 /// Length limit of a line that holds a length or an error.
 const MAX_LINE_BYTES: usize = 1024;
 
@@ -129,6 +131,47 @@
     Ok(Some(Command { parts, count, len: at }))
 }
 
+/// Discards the bytes of a command that has arrived in part, as they come.
+pub struct CommandSkipper {
+    /// Parts whose length has not been read.
+    parts_left: usize,
+    /// Bytes of the current part that have not arrived, with its line end.
+    part_bytes_left: usize,
+}
+
+impl CommandSkipper {
+    /// Starts with the command at the start of `bytes`, which has to hold the command's first line.
+    pub fn start(bytes: &mut Vec<u8>) -> Result<Option<CommandSkipper>, ProtocolError> {
+        let Some((count, start)) = parse_number(bytes, 0, b'*')? else { return Ok(None) };
+        bytes.drain(..start);
+        Ok(Some(CommandSkipper { parts_left: usize::try_from(count).unwrap_or(0), part_bytes_left: 0 }))
+    }
+
+    /// Removes what `bytes` holds of the command. Returns whether it is complete; then the rest of `bytes`
+    /// belongs to the next command.
+    pub fn skip(&mut self, bytes: &mut Vec<u8>) -> Result<bool, ProtocolError> {
+        loop {
+            let arrived = self.part_bytes_left.min(bytes.len());
+            bytes.drain(..arrived);
+            self.part_bytes_left -= arrived;
+            if self.part_bytes_left > 0 {
+                return Ok(false);
+            }
+            if self.parts_left == 0 {
+                return Ok(true);
+            }
+            let Some((len, start)) = parse_number(bytes, 0, b'$')? else { return Ok(false) };
+            let len = usize::try_from(len).map_err(|_| ProtocolError("a part is null"))?;
+            if len > MAX_VALUE_BYTES {
+                return Err(ProtocolError("a value is too long"));
+            }
+            bytes.drain(..start);
+            self.parts_left -= 1;
+            self.part_bytes_left = len + LINE_END.len();
+        }
+    }
+}
+
 /// Parses a worker's reply at the start of `bytes`. Returns it with its length, or with 0 where its end
 /// cannot be determined; None while it is incomplete.
 pub fn reply(bytes: &[u8]) -> Result<Option<(Reply, usize)>, ProtocolError> {
--- a/tests/node/pipelines.rs
+++ b/tests/node/pipelines.rs
@@ -140,3 +140,28 @@
     other.send(resp_command(&["PING"]));
     assert_eq!(other.read_answer(), "+PONG");
 }
+
+/// Incomplete commands of other clients use up the memory for them, and a long command arrives in pieces: it
+/// is refused or served, and the command behind it is answered as well.
+#[test]
+fn commands_behind_a_long_one_are_answered_when_memory_for_commands_is_used_up() {
+    let worker = TestListener::bind();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup { memory_mb: SMALL_MEMORY_MB, ..Setup::new(discovery.at) }.start();
+    worker.serve_all("served");
+    let incomplete = [&b"*2\r\n$4\r\nPING\r\n$65000\r\n"[..], &[b'x'; 60_000]].concat();
+    let mut others: Vec<TestConnection> = (0..150).map(|_| node.client()).collect();
+    others.iter_mut().for_each(|other| other.send(&incomplete));
+    node.wait_until_input_is_processed();
+    let mut client = node.client();
+    let long = resp_command(&["PING", &long_value(1)]);
+    let (head, rest) = long.split_at(long.len() / 2);
+    client.send(head);
+    node.wait_until_input_is_processed();
+    client.send([rest, &resp_command(&["PING"]), &read_request(5000), &resp_command(&["PING"])].concat());
+    assert_eq!(client.read_answer(), "-BUSY");
+    assert_eq!(client.read_answer(), "+PONG");
+    assert_eq!(client.read_answer(), "served");
+    assert_eq!(client.read_answer(), "+PONG");
+    drop(others);
+}
