An agent is not cut off over messages that the gatekeeper has only just queued

The gatekeeper's side of the link held 1 MiB "unread" against what it had queued itself: all batches of usage that wait for an agent are queued at once as it connects, and the next decision then cut it off, though it reads all it is sent. It would be cut off again at each attempt while so much usage waits.

Change: nothing is held against an agent but the time in which it reads nothing (5 s, as before). Past 1 MiB nothing more is read from it, since its checks would only add decisions, and what can be sent again or is followed by something newer (usage, levels, sets, observations, requests to an outside service, which then fail) is left out. The time for the rest of a frame runs only while the agent is read from.

--- a/crates/link/src/node.rs
+++ b/crates/link/src/node.rs
@@ -1,6 +1,7 @@
 //! The gatekeeper's side of the link: listens at a Unix socket, reads frames from agents and writes frames to
-//! them. Everything runs on the gatekeeper's thread, which never waits here: what an agent does not read is
-//! queued up to a bound, and past it the agent is disconnected.
+//! them. Everything runs on the gatekeeper's thread, which never waits here. What an agent has not read is kept
+//! up to a bound: past it nothing more is read from the agent, and messages that can be sent again later are
+//! dropped. An agent that reads nothing for a time is disconnected.
 
 use crate::VERSION;
 use crate::codec::{self, FrameReader};
@@ -27,12 +28,14 @@
 /// How long a partially received frame, or unsent output, may make no progress before the agent is
 /// disconnected.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Bytes that an agent may leave unread; past this it is disconnected.
+/// Bytes kept for an agent that has not read them; past this nothing more is read from it.
 pub const MAX_UNREAD_BYTES: usize = 1 << 20;
 /// Items of a frame that are handled in one turn, before other tasks of the thread run.
 const MAX_ITEMS_PER_TURN: usize = 32;
 /// The estimated encoded size, in bytes, of an item that is not encoded yet.
 const ITEM_BYTES_ESTIMATE: usize = 40;
+/// The estimated encoded size, in bytes, of a line of a usage batch.
+const USAGE_LINE_BYTES_ESTIMATE: usize = 48;
 /// Items of one kind that go into one frame: such a frame stays well below the longest one.
 const MAX_ITEMS_PER_FRAME: usize = 2000;
 
@@ -75,12 +78,12 @@
     queued: RefCell<FromNode>,
     /// The number of items in it.
     queued_items: Cell<usize>,
+    /// The estimated size of those of them whose size differs much.
+    queued_bytes: Cell<usize>,
     /// Encoded bytes that the socket has not accepted.
     unsent_bytes: Cell<usize>,
     /// Wakes the connection's task.
     wake: Notify,
-    /// Whether the agent left more than [`MAX_UNREAD_BYTES`] unread.
-    is_overfull: Cell<bool>,
     /// Whether [`AgentConnection::disconnect`] was called.
     is_disconnecting: Cell<bool>,
 }
@@ -91,96 +94,102 @@
             number,
             queued: RefCell::default(),
             queued_items: Cell::new(0),
+            queued_bytes: Cell::new(0),
             unsent_bytes: Cell::new(0),
             wake: Notify::new(),
-            is_overfull: Cell::new(false),
             is_disconnecting: Cell::new(false),
         })
     }
 
-    /// Adds an item to the next frame. Returns false if the agent left too much unread: it is then
-    /// disconnected.
-    fn push(&self, size: usize, add: impl FnOnce(&mut FromNode)) -> bool {
+    /// Adds an item to the next frame.
+    fn push(&self, add: impl FnOnce(&mut FromNode)) {
         let items = self.queued_items.get();
-        if self.unsent_bytes.get() + items * ITEM_BYTES_ESTIMATE + size > MAX_UNREAD_BYTES {
-            self.is_overfull.set(true);
-        }
-        if !self.is_overfull.get() {
-            add(&mut self.queued.borrow_mut());
-            self.queued_items.set(items + 1);
-        }
-        if items == 0 || self.is_overfull.get() {
+        add(&mut self.queued.borrow_mut());
+        self.queued_items.set(items + 1);
+        if items == 0 {
             self.wake.notify_one();
         }
-        !self.is_overfull.get()
+    }
+
+    /// Adds an item of about `size` bytes to the next frame if there is room for it. Returns whether there
+    /// was.
+    fn push_if_room(&self, size: usize, add: impl FnOnce(&mut FromNode)) -> bool {
+        let has_room = self.unread_bytes() + ITEM_BYTES_ESTIMATE.max(size) <= MAX_UNREAD_BYTES;
+        if has_room {
+            self.push(add);
+            self.queued_bytes.set(self.queued_bytes.get() + size);
+        }
+        has_room
     }
 
     /// Answers a check.
     pub fn send_decision(&self, decision: Decision) {
-        self.push(decision.error.len(), |frame| frame.decisions.push(decision));
+        self.push(|frame| frame.decisions.push(decision));
     }
 
-    /// Sends a shop's gatekeeper set.
+    /// Sends a shop's gatekeeper set. Dropped if there is no room: agents have a set for other shops.
     pub fn send_shop_set(&self, seen: Seen) {
-        self.push(0, |frame| frame.seen.push(seen));
+        self.push_if_room(0, |frame| frame.seen.push(seen));
     }
 
     /// Asks for a check by an outside service. Returns false if the agent does not read.
     pub fn send_outside_request(&self, ask: OutsideAsk) -> bool {
-        self.push(0, |frame| frame.outside.push(ask))
+        self.push_if_room(0, |frame| frame.outside.push(ask))
     }
 
     /// Sends the state of the outside service's circuit breaker.
     pub fn send_breaker_state(&self, state: OutsideState) {
-        self.push(0, |frame| frame.outside_states.push(state));
+        self.push(|frame| frame.outside_states.push(state));
     }
 
-    /// Sends a usage batch. A batch that an agent does not read is not acknowledged, so it is sent again.
+    /// Sends a usage batch. One for which there is no room, or that the agent does not read, is not
+    /// acknowledged, so it is sent again.
     pub fn send_usage(&self, batch: UseBatch) {
-        self.push(48 * batch.lines.len(), |frame| frame.r#use.push(batch));
+        let size = USAGE_LINE_BYTES_ESTIMATE * batch.lines.len();
+        self.push_if_room(size, |frame| frame.r#use.push(batch));
     }
 
-    /// Sends the level of a token bucket.
+    /// Sends the level of a token bucket. Dropped if there is no room; a newer level follows.
     pub fn send_level(&self, level: Level) {
-        self.push(0, |frame| frame.levels.push(level));
+        self.push_if_room(0, |frame| frame.levels.push(level));
     }
 
     /// Tells the agent that a fleet decision was refused by its fence.
     pub fn send_refused(&self, refused: Refused) {
-        self.push(refused.duty.len() + refused.owner.len(), |frame| frame.refused.push(refused));
+        self.push(|frame| frame.refused.push(refused));
     }
 
     /// Sends the result of applying plans.
     pub fn send_plans_taken(&self, taken: PlansTaken) {
-        self.push(64 * taken.plans.len() + taken.error.len(), |frame| frame.plans_taken = Some(taken));
+        self.push(|frame| frame.plans_taken = Some(taken));
     }
 
     /// Sends a zone observation. It replaces one that is still queued, which is then lost; observations may
     /// be lost.
     pub fn send_zone_observation(&self, seen: ZonesSeen) {
         let size = 64 * (seen.lines.len() + seen.places.len());
-        self.push(size, |frame| frame.zones = Some(seen));
+        self.push_if_room(size, |frame| frame.zones = Some(seen));
     }
 
     /// Sends the versions that this gatekeeper applies. It replaces a message that is still queued.
     pub fn send_applied_versions(&self, acts: Acts) {
-        self.push(96 * acts.versions.len(), |frame| frame.acts = Some(acts));
+        self.push_if_room(96 * acts.versions.len(), |frame| frame.acts = Some(acts));
     }
 
     /// Tells an agent that stops the number of the last batch that was reported.
     pub fn send_usage_reported(&self, number: u64) {
-        self.push(0, |frame| frame.reported = Some(number));
+        self.push(|frame| frame.reported = Some(number));
     }
 
     /// The approximate number of bytes that the agent has not read.
     #[must_use]
     pub fn unread_bytes(&self) -> usize {
-        self.unsent_bytes.get() + self.queued_items.get() * ITEM_BYTES_ESTIMATE
+        self.unsent_bytes.get() + self.queued_items.get() * ITEM_BYTES_ESTIMATE + self.queued_bytes.get()
     }
 
     /// Announces that the gatekeeper stops; undecided checks are still answered.
     pub fn send_bye(&self, why: &str) {
-        self.push(why.len(), |frame| frame.bye = why.to_string());
+        self.push(|frame| frame.bye = why.to_string());
     }
 
     /// Closes the connection.
@@ -192,6 +201,7 @@
     /// Encodes the queued items. Long lists are split over several frames.
     fn encode(&self, bytes: &mut Vec<u8>) -> Result<(), codec::FrameError> {
         let mut all = std::mem::take(&mut *self.queued.borrow_mut());
+        self.queued_bytes.set(0);
         if self.queued_items.replace(0) == 0 {
             return Ok(());
         }
@@ -315,9 +325,6 @@
     // Since when the agent has read none of the pending output, and since when a partial frame is buffered.
     let (mut stalled_since, mut partial_since) = (None::<Instant>, None::<Instant>);
     loop {
-        if peer.is_overfull.get() {
-            return Err(format!("it left more than {MAX_UNREAD_BYTES} bytes unread"));
-        }
         peer.encode(&mut bytes).map_err(|e| e.to_string())?;
         if !bytes.is_empty() {
             match stream.try_write(&bytes) {
@@ -337,25 +344,30 @@
         if peer.is_disconnecting.get() {
             return Ok(());
         }
-        // One frame at a time and a few items per turn, so that clients and workers are served in between.
-        if items.handle_some(peer, handler) {
-            yield_now().await;
-            continue;
-        }
-        if let Some(next) = frames.next_message::<ToNode>().map_err(|e| e.to_string())? {
-            if next.hello.is_some() {
-                return Err("it sent a second hello".into());
+        // An agent that does not read is not read from either: its checks would only add unread decisions.
+        let may_read = bytes.len() <= MAX_UNREAD_BYTES;
+        if may_read {
+            // One frame at a time and a few items per turn, so that clients and workers are served in between.
+            if items.handle_some(peer, handler) {
+                yield_now().await;
+                continue;
+            }
+            if let Some(next) = frames.next_message::<ToNode>().map_err(|e| e.to_string())? {
+                if next.hello.is_some() {
+                    return Err("it sent a second hello".into());
+                }
+                items = UnhandledItems::new(next);
+                partial_since = None;
+                continue;
             }
-            items = UnhandledItems::new(next);
-            partial_since = None;
-            continue;
         }
-        partial_since =
-            if frames.has_partial_frame() { partial_since.or_else(|| Some(Instant::now())) } else { None };
+        // The agent has the time for the rest of a frame while it is read from.
+        let is_partial = may_read && frames.has_partial_frame();
+        partial_since = if is_partial { partial_since.or_else(|| Some(Instant::now())) } else { None };
         let deadline =
             [stalled_since, partial_since].into_iter().flatten().min().map(|since| since + STALL_TIMEOUT);
         tokio::select! {
-            ready = stream.readable() => {
+            ready = stream.readable(), if may_read => {
                 if ready.is_err() {
                     return Ok(());
                 }
@@ -370,7 +382,10 @@
             _ = stream.writable(), if !bytes.is_empty() => {}
             () = peer.wake.notified() => {}
             () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
-                return Err(if partial_since.is_some() { "it did not complete a frame in time" } else { "it read nothing in time" }.into());
+                return Err(match partial_since {
+                    Some(_) => "it did not complete a frame in time".into(),
+                    None => format!("it read nothing in time and left {} bytes unread", bytes.len()),
+                });
             }
         }
     }
--- a/src/bin/frostvale/link.rs
+++ b/src/bin/frostvale/link.rs
@@ -506,27 +506,29 @@
     }
 
     fn agent_connected(&self, peer: &Rc<AgentConnection>, hello: Hello) {
+        let record = hello.record;
         let agent = LinkedAgent {
             peer: peer.clone(),
             outside: hello.outside,
-            record: hello.record,
+            record,
             zones: hello.zones,
             audit: hello.audit,
             stopping: Cell::new(false),
             checks: RefCell::default(),
         };
-        if hello.record {
-            // Batches that another agent, or an earlier process of this agent, has not acknowledged.
-            if let Some(usage) = self.gatekeeper.borrow_mut().usage() {
-                usage.pending().cloned().for_each(|batch| peer.send_usage(batch));
-            }
-            self.reported_levels.borrow_mut().clear();
-        }
         self.agents.borrow_mut().insert(peer.number, Rc::new(agent));
         let sets = self.sets.borrow();
         for (shop, (first, spread)) in sets.current.iter().take(MAX_SETS_ON_CONNECT) {
             peer.send_shop_set(Seen { shop: shop.to_string(), first: *first, spread: *spread });
         }
+        if record {
+            // Batches that another agent, or an earlier process of this agent, has not acknowledged. Those for
+            // which there is no room now are sent again later.
+            if let Some(usage) = self.gatekeeper.borrow_mut().usage() {
+                usage.pending().cloned().for_each(|batch| peer.send_usage(batch));
+            }
+            self.reported_levels.borrow_mut().clear();
+        }
         if let Some((breaker, counts)) = self.gatekeeper.borrow().outside_state() {
             peer.send_breaker_state(breaker_message(breaker, counts));
         }
