Every index that a gatekeeper and the agent exchange counts in its own process's lists

Cause: the agent read the indexes of all gatekeepers by the lists of the one that had connected last (Fleet::update_tier). Evidence, a test on: all that n2 sent after n1's restart with other lists, 20,000 of 80,000 thousandths, stands as "ten" and "class 1", which are n2's indexes in n1's lists; the sum is whole, and what n2 sent before is right.

Change: each message of a link carries the welcome of the process that sent it and is read by it; checks, verdicts and restored levels are addressed to a welcome and sent on no other connection. Calls over gRPC may name the plans and classes of any gatekeeper. Levels are stored with a key of the plan's name; rows with an index are still read. An event that says that a gatekeeper is new may be dropped: the messages behind it say so too. The handling of a link's events has a module of its own.

In crates/checks/tests/read.rs a check's class is expected by name where it was by number.

--- a/crates/agent/src/audit.rs
+++ b/crates/agent/src/audit.rs
@@ -21,7 +21,7 @@
 };
 use frostvale_council::{AgreedState, Council};
 use frostvale_link::agent::Link;
-use frostvale_link::proto::{Acts as ActsMessage, Fence, Shut, ShutOne};
+use frostvale_link::proto::{Acts as ActsMessage, Fence, Shut, ShutOne, Welcome};
 use frostvale_owner::registry::{OperatorOverride, StandingDecision};
 use frostvale_owner::{Command, Lease, Outcome};
 use frostvale_proto::agent::audit_change::What;
@@ -383,9 +383,7 @@
     // ---- evidence ----
 
     /// Stores the versions that a gatekeeper of this host reports; an invalid report is logged and dropped.
-    pub(crate) fn record_applied_versions(&self, gatekeeper: &str, report: ActsMessage) {
-        let welcome = self.link(gatekeeper).and_then(Link::welcome);
-        let Some(welcome) = welcome else { return };
+    pub(crate) fn record_applied_versions(&self, gatekeeper: &str, welcome: &Welcome, report: ActsMessage) {
         let version =
             |a: frostvale_link::proto::Acting| (a.kind, Version { revision: a.revision, digest: a.digest });
         let acts = AppliedVersions {
--- a/crates/agent/src/fleet.rs
+++ b/crates/agent/src/fleet.rs
@@ -1,17 +1,21 @@
 //! The links to the gatekeepers of this host, the tier's settings as the gatekeepers report them, and the
 //! choice of the gatekeeper that decides a check.
 
+mod events;
+
+use self::events::Receivers;
 use crate::config::Config;
 use crate::council::CouncilSeat;
 use crate::outside::Outside;
+use crate::process_tables::{class_index, merge_tiers, plan_index};
 use crate::record::{IncomingBatch, RecordKeeper};
 use frostvale_checks::read::CheckRequest;
 use frostvale_checks::route::{ShopSets, candidates};
 use frostvale_checks::{Plan, Tier};
-use frostvale_link::agent::{self, CheckError, Link, LinkEvent, LinkOptions};
+use frostvale_link::agent::{self, CheckError, Link, LinkOptions};
 use frostvale_link::proto::decision::Code;
 use frostvale_link::proto::outside_state::Breaker;
-use frostvale_link::proto::{Check, OutsideState, Plan as WirePlan, Welcome};
+use frostvale_link::proto::{Check, OutsideState};
 use frostvale_proto::agent::Gatekeeper;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -36,6 +40,8 @@
     link: Link,
     /// Why it is not connected (empty while it is), and the last reported state of its outside service.
     state: Mutex<(String, Option<OutsideState>)>,
+    /// Its settings as it last reported them; kept while it is not connected.
+    tier: Mutex<Option<Tier>>,
 }
 
 /// The outcome of a check.
@@ -80,6 +86,7 @@
 /// The gatekeepers of this host.
 pub struct Fleet {
     members: Vec<Arc<Member>>,
+    /// The plans and classes of all gatekeepers, by name.
     tier: RwLock<Arc<Tier>>,
     /// The sets of gatekeepers of shops, as gatekeepers reported them.
     sets: Mutex<ShopSets>,
@@ -117,7 +124,7 @@
             tokio::spawn(work);
             let (name, socket) = (g.name.clone(), g.socket.display().to_string());
             let state = Mutex::new(("not connected yet".to_string(), None));
-            members.push(Arc::new(Member { name, socket, link, state }));
+            members.push(Arc::new(Member { name, socket, link, state, tier: Mutex::default() }));
             receivers.push(event_rx);
         }
         let fleet = Arc::new(Fleet {
@@ -142,155 +149,42 @@
                 .iter()
                 .map(|m| (m.name.clone(), PathBuf::from(&m.socket), m.link.clone()))
                 .collect();
-            let this = fleet.clone();
-            keeper.start(links, taken, move || this.tier());
+            keeper.start(links, taken);
             keeper
         });
         for (k, events) in receivers.into_iter().enumerate() {
             let span = tracing::debug_span!("link", instance = fleet.members[k].name);
-            let handler =
-                fleet.clone().handle_events(k, events, outside.clone(), keeper.clone(), seat.cloned());
-            tokio::spawn(handler.instrument(span));
+            let receivers =
+                Receivers { outside: outside.clone(), keeper: keeper.clone(), seat: seat.cloned() };
+            tokio::spawn(fleet.clone().handle_events(k, events, receivers).instrument(span));
         }
         fleet
     }
 
-    /// Handles the events of gatekeeper `k`'s link.
-    async fn handle_events(
-        self: Arc<Self>,
-        k: usize,
-        mut events: mpsc::Receiver<LinkEvent>,
-        outside: Option<Arc<Outside>>,
-        keeper: Option<Arc<RecordKeeper>>,
-        seat: Option<Arc<CouncilSeat>>,
-    ) {
-        let member = self.members[k].clone();
-        let name = &member.name;
-        while let Some(event) = events.recv().await {
-            match event {
-                LinkEvent::Connected(welcome) => {
-                    lock(&member.state).0.clear();
-                    self.update_tier(&welcome);
-                    tracing::info!(instance = name, "gatekeeper {name} is linked, number {}", welcome.me);
-                    self.update_connected_count();
-                    if let Some(keeper) = &keeper {
-                        keeper.gatekeeper_connected(k, &welcome).await;
-                    }
-                    if let Some(seat) = &seat {
-                        let (link, keeper) = (member.link.clone(), keeper.clone());
-                        tokio::spawn(seat.clone().gatekeeper_connected(link, welcome, keeper));
-                    }
-                }
-                LinkEvent::Disconnected(why) => {
-                    if let Some(keeper) = &keeper {
-                        keeper.gatekeeper_disconnected(k).await;
-                    }
-                    tracing::warn!(
-                        instance = name,
-                        reason = why,
-                        "gatekeeper {name} is not linked: {why}; checks go to the other gatekeepers of each \
-                         shop's set, or are answered by the failure mode; reconnecting"
-                    );
-                    *lock(&member.state) = (why, None);
-                    self.update_connected_count();
-                }
-                LinkEvent::ShopSet(seen) => {
-                    let gatekeepers = self.tier().gatekeepers;
-                    lock(&self.sets).record(&seen.shop, seen.first, seen.spread, gatekeepers);
-                }
-                LinkEvent::UsageBatch(batch) => {
-                    if let Some(keeper) = &keeper {
-                        keeper.receive_batch(k, batch);
-                    }
-                }
-                LinkEvent::UsageReported(number) => {
-                    if let Some(keeper) = &keeper {
-                        keeper.usage_reported(k, number);
-                    }
-                }
-                LinkEvent::TokenLevels(levels) => {
-                    if let Some(keeper) = &keeper {
-                        keeper.receive_levels(k, &levels);
-                    }
-                }
-                LinkEvent::PlansTaken(taken) => {
-                    if !taken.error.is_empty() {
-                        tracing::warn!(
-                            instance = name,
-                            revision = taken.revision,
-                            reason = taken.error,
-                            "gatekeeper {name} rejected the plans and keeps those in effect"
-                        );
-                    }
-                    if !taken.unknown.is_empty() {
-                        let unknown = taken.unknown.join(", ");
-                        tracing::warn!(
-                            "gatekeeper {name} ignores plans that are missing from its settings: {unknown}"
-                        );
-                    }
-                    let known = self.tier();
-                    let tier = Tier { plans: plans(&taken.plans), ..(*known).clone() };
-                    if !taken.plans.is_empty() && tier != *known {
-                        *self.tier.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(tier);
-                    }
-                }
-                LinkEvent::FenceRefused(refused) => tracing::warn!(
-                    instance = name,
-                    duty = refused.duty,
-                    epoch = refused.epoch,
-                    stands = refused.stands,
-                    "gatekeeper {name} rejected a message of epoch {} of duty {}: epoch {} of owner {} \
-                     is in effect",
-                    refused.epoch,
-                    refused.duty,
-                    refused.stands,
-                    refused.owner
-                ),
-                LinkEvent::ZoneObservation(seen) => {
-                    if let Some(zones) = seat.as_ref().and_then(|s| s.zones.as_ref()) {
-                        zones.record_observation(name, seen);
-                    }
-                }
-                LinkEvent::AppliedVersions(versions) => {
-                    if let Some(audit) = seat.as_ref().and_then(|s| s.audit.as_ref()) {
-                        audit.record_applied_versions(name, versions);
-                    }
-                }
-                LinkEvent::BreakerState(state) => {
-                    tracing::info!(
-                        "gatekeeper {name}: the circuit breaker of the outside service is {}",
-                        breaker_name(&state)
-                    );
-                    lock(&member.state).1 = Some(state);
-                }
-                LinkEvent::OutsideRequest(request) => match &outside {
-                    Some(outside) => outside.clone().send_request(request, member.link.clone(), &self.tier()),
-                    None => member.link.send_verdict(crate::outside::failed(request.id)),
-                },
-            }
-        }
-    }
-
     fn update_connected_count(&self) {
         let connected = self.members.iter().filter(|m| m.link.welcome().is_some()).count();
         self.connected.send_replace(connected);
     }
 
-    /// Takes over the tier's settings from a gatekeeper that has connected.
-    fn update_tier(&self, welcome: &Welcome) {
-        let tier = tier_of(welcome);
+    /// Takes over the settings that a gatekeeper has reported.
+    fn update_tier(&self, member: &Member, reported: Tier) {
         let mut known = self.tier.write().unwrap_or_else(PoisonError::into_inner);
-        if **known != tier {
-            if known.gatekeepers > 0 {
-                tracing::warn!(
-                    "the gatekeepers' settings differ; using those of the gatekeeper that connected last"
-                );
-            }
-            *known = Arc::new(tier);
+        *lock(&member.tier) = Some(reported.clone());
+        let others: Vec<Tier> = self.members.iter().filter_map(|m| lock(&m.tier).clone()).collect();
+        let merged = merge_tiers(others.iter(), &reported);
+        if **known == merged {
+            return;
+        }
+        if others.iter().any(|other| *other != reported) {
+            tracing::warn!(
+                "the gatekeepers' settings differ; each one's messages are read by its own settings, and calls \
+                 may name the plans and classes of any"
+            );
         }
+        *known = Arc::new(merged);
     }
 
-    /// The tier's settings, as reported by the gatekeeper that connected last.
+    /// The plans and classes of all gatekeepers; where settings differ, those that were reported last.
     #[must_use]
     pub fn tier(&self) -> Arc<Tier> {
         self.tier.read().unwrap_or_else(PoisonError::into_inner).clone()
@@ -313,8 +207,8 @@
     }
 
     /// Has a gatekeeper of the shop's set decide the check before `until`. The next one is tried only where
-    /// the check was not sent or the gatekeeper was busy, so that no check is charged twice. `hold` keeps a
-    /// grant open until it is settled.
+    /// the check was not sent or the gatekeeper was busy or lacks the plan or class, so that no check is
+    /// charged twice. `hold` keeps a grant open until it is settled.
     pub async fn decide(
         &self,
         request: &CheckRequest,
@@ -326,15 +220,19 @@
         let set = self.set(request, gatekeepers);
         let check_count = self.check_count.fetch_add(1, Ordering::Relaxed);
         let find_usable = |number: u32| {
-            let here = |m: &&Arc<Member>| m.link.welcome().is_some_and(|w| w.me == number);
-            self.members.iter().find(|m| here(m) && m.link.is_usable())
+            self.members.iter().find_map(|m| {
+                let welcome = m.link.welcome().filter(|w| w.me == number && m.link.is_usable())?;
+                Some((m, welcome))
+            })
         };
         let numbers =
             candidates(&request.shop, set, gatekeepers, plan.ceiling_rate_milli > 0, check_count, |n| {
                 find_usable(n).is_some()
             });
         for number in numbers {
-            let Some(member) = find_usable(number) else { continue };
+            let Some((member, welcome)) = find_usable(number) else { continue };
+            let class = request.class.as_deref().map_or(Some(0), |name| class_index(&welcome, name));
+            let (Some(plan), Some(class)) = (plan_index(&welcome, &request.plan), class) else { continue };
             let remaining = until.saturating_duration_since(Instant::now());
             if remaining < Duration::from_millis(1) {
                 return CheckOutcome::NoGatekeeper;
@@ -342,15 +240,15 @@
             let check = Check {
                 id: 0,
                 shop: request.shop.clone(),
-                plan: plan.number,
-                class: request.class,
+                plan,
+                class,
                 units_milli: request.units_milli,
                 first: set.0,
                 spread: set.1,
                 within_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX).min(60_000),
                 hold,
             };
-            match tokio::time::timeout(remaining, member.link.check(check)).await {
+            match tokio::time::timeout(remaining, member.link.check(&welcome, check)).await {
                 Err(_) => return CheckOutcome::InDoubt,
                 Ok(Err(CheckError::InDoubt)) => return CheckOutcome::InDoubt,
                 Ok(Err(CheckError::Unsent | CheckError::Busy)) => {}
@@ -406,30 +304,6 @@
     }
 }
 
-/// The tier's settings from a gatekeeper's welcome message.
-pub(crate) fn tier_of(welcome: &Welcome) -> Tier {
-    Tier {
-        gatekeepers: welcome.gateways,
-        plans: plans(&welcome.plans),
-        classes: welcome.classes.clone(),
-        largest_milli: welcome.largest_milli,
-    }
-}
-
-/// Indexes the plans of a gatekeeper by name. A plan's number is its position in the list.
-fn plans(wire_plans: &[WirePlan]) -> std::collections::BTreeMap<String, Plan> {
-    let plan = |(k, p): (usize, &WirePlan)| {
-        let plan = Plan {
-            number: u32::try_from(k).unwrap_or(u32::MAX),
-            rate_milli: p.rate_milli,
-            burst_milli: p.burst_milli,
-            ceiling_rate_milli: p.ceiling_rate_milli,
-        };
-        (p.name.clone(), plan)
-    };
-    wire_plans.iter().enumerate().map(plan).collect()
-}
-
 fn breaker_name(state: &OutsideState) -> &'static str {
     match state.breaker() {
         Breaker::Closed => "closed",
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod operators;
 pub mod outside;
+mod process_tables;
 pub mod record;
 pub mod rls;
 pub mod serve;
--- a/crates/agent/src/outside.rs
+++ b/crates/agent/src/outside.rs
@@ -2,10 +2,10 @@
 //! an answer (`frostvale-outside`). This module makes the calls, with a limit on their number and their time.
 
 use crate::config::{self, Keys};
-use frostvale_checks::Tier;
+use crate::process_tables::{class_name, plan_name};
 use frostvale_link::agent::Link;
 use frostvale_link::proto::outside_verdict::Code as VerdictCode;
-use frostvale_link::proto::{OutsideAsk, OutsideVerdict};
+use frostvale_link::proto::{OutsideAsk, OutsideVerdict, Welcome};
 use frostvale_proto::envoy::extensions::common::ratelimit::v3::RateLimitDescriptor;
 use frostvale_proto::envoy::extensions::common::ratelimit::v3::rate_limit_descriptor::Entry;
 use frostvale_proto::envoy::service::ratelimit::v3::rate_limit_response::descriptor_status::QuotaSpecifier;
@@ -96,21 +96,21 @@
         (self.max_in_flight - self.call_permits.available_permits()) as u64
     }
 
-    /// Calls the service on behalf of a gatekeeper and sends the verdict over its link. The verdict is
-    /// "failed" at once if the limit of calls in flight is reached or the plan is unknown.
-    pub fn send_request(self: Arc<Self>, check: OutsideAsk, link: Link, tier: &Tier) {
+    /// Calls the service on behalf of the gatekeeper process of this welcome and sends the verdict to that
+    /// process. The verdict is "failed" at once if the limit of calls in flight is reached or the plan is
+    /// unknown.
+    pub fn send_request(self: Arc<Self>, check: OutsideAsk, link: Link, from: Arc<Welcome>) {
         self.counts.asked.fetch_add(1, Ordering::Relaxed);
-        let plan_name =
-            tier.plans.iter().find(|(_, plan)| plan.number == check.plan).map(|(name, _)| name.clone());
-        let (Ok(permit), Some(plan)) = (self.call_permits.clone().try_acquire_owned(), plan_name) else {
+        let plan = plan_name(&from, check.plan).map(str::to_string);
+        let (Ok(permit), Some(plan)) = (self.call_permits.clone().try_acquire_owned(), plan) else {
             self.counts.failed.fetch_add(1, Ordering::Relaxed);
-            return link.send_verdict(failed(check.id));
+            return link.send_verdict(&from, failed(check.id));
         };
         let entry_keys = self.keys.entry_keys(&[]);
         let entry = |key: String, value: String| Entry { key, value };
         let mut entries = vec![entry(entry_keys.shop, check.shop), entry(entry_keys.plan, plan)];
-        if let Some(class) = tier.classes.get(check.class as usize) {
-            entries.push(entry(entry_keys.class, class.clone()));
+        if let Some(class) = class_name(&from, check.class) {
+            entries.push(entry(entry_keys.class, class.to_string()));
         }
         let hits_addend = u32::try_from(check.units_milli.div_ceil(1000)).unwrap_or(u32::MAX);
         let descriptors = vec![RateLimitDescriptor { entries, hits_addend: None }];
@@ -129,7 +129,7 @@
                 _ => &self.counts.failed,
             };
             count.fetch_add(1, Ordering::Relaxed);
-            link.send_verdict(verdict.unwrap_or_else(|| failed(check.id)));
+            link.send_verdict(&from, verdict.unwrap_or_else(|| failed(check.id)));
             drop(permit);
         });
     }
--- a/crates/agent/src/record.rs
+++ b/crates/agent/src/record.rs
@@ -11,8 +11,8 @@
 
 use crate::clock::unix_ms;
 use crate::config;
+use crate::process_tables::{class_name, plan_index_of_key, plan_key_at, plan_name};
 use frostvale::min_local_limit_share;
-use frostvale_checks::Tier;
 use frostvale_link::agent::Link;
 use frostvale_link::proto::{Level as WireLevel, UseBatch, Welcome};
 use frostvale_proto::agent::Record as Status;
@@ -80,23 +80,29 @@
     from_files: Mutex<Vec<Incarnation>>,
 }
 
-/// Converts a bucket's token level from the wire format to the record's, as received at `at_ms`.
-fn to_token_level(l: &WireLevel, at_ms: i64) -> TokenLevel {
-    TokenLevel {
+/// When the incarnation of this welcome started, in Unix milliseconds.
+fn epoch_ms(welcome: &Welcome) -> i64 {
+    i64::try_from(welcome.started_ms).unwrap_or(i64::MAX)
+}
+
+/// Converts a bucket's token level from the wire format of the process of this welcome to the record's, as
+/// received at `at_ms`. `None` if that process has no such plan.
+fn to_token_level(welcome: &Welcome, l: &WireLevel, at_ms: i64) -> Option<TokenLevel> {
+    Some(TokenLevel {
         key: i64::try_from(l.key).unwrap_or(i64::MAX),
-        plan: i64::from(l.plan),
+        plan: plan_key_at(welcome, l.plan)?,
         store_milli: i64::try_from(l.store_milli).unwrap_or(i64::MAX),
         ceiling_milli: l.ceiling_milli,
         at_ms,
-    }
+    })
 }
 
 /// A received usage batch with the gatekeeper and the incarnation that sent it.
 pub struct IncomingBatch {
     /// Index of the gatekeeper.
     member: usize,
-    /// When the incarnation that sent it started, in Unix milliseconds.
-    epoch_ms: i64,
+    /// The welcome of the incarnation that sent it: its start, and the lists that the batch's indexes count in.
+    welcome: Arc<Welcome>,
     batch: UseBatch,
 }
 
@@ -188,21 +194,18 @@
         Ok((Arc::new(keeper), received))
     }
 
-    /// Starts the background tasks for these gatekeepers. `tier` returns the tier as the gatekeepers last
-    /// reported it.
+    /// Starts the background tasks for these gatekeepers.
     pub fn start(
         self: &Arc<Self>,
         members: Vec<(String, PathBuf, Link)>,
         received: mpsc::Receiver<IncomingBatch>,
-        tier: impl Fn() -> Arc<Tier> + Send + Sync + 'static,
     ) {
         let member = |(name, socket, link)| {
             let (incarnation, from_files) = (Mutex::default(), Mutex::default());
             Member { name, socket, link, incarnation, from_files }
         };
         let _ = self.members.set(members.into_iter().map(member).collect());
-        let tier = Arc::new(tier);
-        tokio::spawn(self.clone().spool_loop(received, tier));
+        tokio::spawn(self.clone().spool_loop(received));
         tokio::spawn(self.clone().upload_loop());
         // Gatekeepers that never connect again may have left final report files too.
         let keeper = self.clone();
@@ -272,52 +275,42 @@
 
     // ---- usage ----
 
-    /// Queues a usage batch of gatekeeper `k`. A batch that does not fit is not acknowledged, and the
-    /// gatekeeper sends it again.
-    pub fn receive_batch(&self, k: usize, batch: UseBatch) {
-        // The batch belongs to the incarnation of the connection that it came on. By the time it is processed
-        // the gatekeeper may have restarted.
-        let Some(epoch_ms) = self.member(k).map(|m| lock(&m.incarnation).epoch_ms).filter(|e| *e != 0) else {
-            return;
-        };
+    /// Queues a usage batch of gatekeeper `k`, sent by the incarnation of this welcome. A batch that does not
+    /// fit is not acknowledged, and the gatekeeper sends it again.
+    pub fn receive_batch(&self, k: usize, welcome: Arc<Welcome>, batch: UseBatch) {
         self.unspooled_batches.fetch_add(1, Ordering::AcqRel);
-        if self.intake.try_send(IncomingBatch { member: k, epoch_ms, batch }).is_err() {
+        if self.intake.try_send(IncomingBatch { member: k, welcome, batch }).is_err() {
             self.unspooled_batches.fetch_sub(1, Ordering::AcqRel);
         }
     }
 
     /// Moves queued batches into the spool.
-    async fn spool_loop(
-        self: Arc<Self>,
-        mut received: mpsc::Receiver<IncomingBatch>,
-        tier: Arc<impl Fn() -> Arc<Tier>>,
-    ) {
+    async fn spool_loop(self: Arc<Self>, mut received: mpsc::Receiver<IncomingBatch>) {
         let mut all = Vec::with_capacity(MAX_BATCHES_PER_SPOOL_WRITE);
         loop {
             let count = received.recv_many(&mut all, MAX_BATCHES_PER_SPOOL_WRITE).await;
             if count == 0 {
                 return;
             }
-            let tier = tier();
-            self.spool_batches(&mut all, &tier).await;
+            self.spool_batches(&mut all).await;
             self.unspooled_batches.fetch_sub(count, Ordering::AcqRel);
         }
     }
 
     /// Writes batches to the spool and then acknowledges them to their gatekeepers. Batches that the spool
     /// has no space for are dropped without an acknowledgement.
-    async fn spool_batches(&self, all: &mut Vec<IncomingBatch>, tier: &Tier) {
+    async fn spool_batches(&self, all: &mut Vec<IncomingBatch>) {
         let mut batches = Vec::new();
         let mut from = Vec::new();
         let mut size = 0;
-        for IncomingBatch { member: k, epoch_ms, batch: wire_batch } in all.drain(..) {
-            let Some(batch) = self.to_usage_batch(k, epoch_ms, &wire_batch, tier) else { continue };
+        for IncomingBatch { member: k, welcome, batch: wire_batch } in all.drain(..) {
+            let Some(batch) = self.to_usage_batch(k, &welcome, &wire_batch) else { continue };
             let bytes = Spool::size_bytes(&batch);
             if !lock(&self.upload).can_spool(size + bytes) {
                 continue;
             }
             size += bytes;
-            from.push((k, epoch_ms, wire_batch.seq, bytes, batch.to_ms, wire_batch.last));
+            from.push((k, batch.epoch_ms, wire_batch.seq, bytes, batch.to_ms, wire_batch.last));
             batches.push(batch);
         }
         let notices = lock(&self.upload).take_notices();
@@ -360,34 +353,22 @@
         }
     }
 
-    /// Converts a batch from the wire format to the record's. Plans and classes that the tier does not have
-    /// are stored by their number. `None` if there is no gatekeeper `k`.
-    fn to_usage_batch(
-        &self,
-        k: usize,
-        epoch_ms: i64,
-        wire_batch: &UseBatch,
-        tier: &Tier,
-    ) -> Option<UsageBatch> {
+    /// Converts a batch from the wire format of the incarnation of this welcome to the record's. Plans and
+    /// classes that are not in its lists are stored by their number. `None` if there is no gatekeeper `k`.
+    fn to_usage_batch(&self, k: usize, welcome: &Welcome, wire_batch: &UseBatch) -> Option<UsageBatch> {
         let member = self.member(k)?;
-        let plan =
-            |number: u32| tier.plans.iter().find(|(_, p)| p.number == number).map(|(name, _)| name.clone());
         let int = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
         let line = |l: &frostvale_link::proto::UseLine| UsageLine {
             shop: l.shop.clone(),
-            plan: plan(l.plan).unwrap_or_else(|| format!("plan {}", l.plan)),
-            class: tier
-                .classes
-                .get(l.class as usize)
-                .cloned()
-                .unwrap_or_else(|| format!("class {}", l.class)),
+            plan: plan_name(welcome, l.plan).map_or_else(|| format!("plan {}", l.plan), str::to_string),
+            class: class_name(welcome, l.class).map_or_else(|| format!("class {}", l.class), str::to_string),
             passed_milli: int(l.passed_milli),
             refused_milli: int(l.refused_milli),
             served_milli: int(l.served_milli),
         };
         Some(UsageBatch {
             instance: member.name.clone(),
-            epoch_ms,
+            epoch_ms: epoch_ms(welcome),
             seq: int(wire_batch.seq),
             from_ms: int(wire_batch.from_ms),
             to_ms: int(wire_batch.to_ms),
@@ -444,18 +425,22 @@
 
     // ---- incarnations of gatekeepers ----
 
-    /// Records the token levels that gatekeeper `k` reports.
-    pub fn receive_levels(&self, k: usize, levels: &[WireLevel]) {
+    /// Records the token levels that gatekeeper `k` reports in the incarnation of this welcome.
+    pub fn receive_levels(&self, k: usize, welcome: &Welcome, levels: &[WireLevel]) {
         let Some(member) = self.member(k) else { return };
         let at_ms = unix_ms();
         let mut incarnation = lock(&member.incarnation);
+        if incarnation.epoch_ms != epoch_ms(welcome) {
+            return;
+        }
         for l in levels {
             if incarnation.levels.len() >= MAX_LEVELS_PER_GATEKEEPER
                 && !incarnation.levels.contains_key(&l.key)
             {
                 continue;
             }
-            incarnation.levels.insert(l.key, to_token_level(l, at_ms));
+            let Some(level) = to_token_level(welcome, l, at_ms) else { continue };
+            incarnation.levels.insert(l.key, level);
             incarnation.dirty.insert(l.key);
         }
     }
@@ -471,9 +456,9 @@
 
     /// Handles a new link to gatekeeper `k`. A restarted gatekeeper gets the token levels that may be
     /// restored from its previous incarnation. Every gatekeeper gets the plans.
-    pub async fn gatekeeper_connected(&self, k: usize, welcome: &Welcome) {
+    pub async fn gatekeeper_connected(&self, k: usize, welcome: &Arc<Welcome>) {
         let Some(member) = self.member(k) else { return };
-        let epoch_ms = i64::try_from(welcome.started_ms).unwrap_or(i64::MAX);
+        let epoch_ms = epoch_ms(welcome);
         if lock(&member.incarnation).epoch_ms != epoch_ms {
             self.take_final_reports(k).await;
             // The database, the spool and the files may each hold newer data on the previous incarnation than
@@ -496,10 +481,8 @@
                     IncarnationEnd::Killed { seen_ms }
                 };
                 for (key, level) in &incarnation.levels {
-                    let Some(plan) = welcome.plans.get(usize::try_from(level.plan).unwrap_or(usize::MAX))
-                    else {
-                        continue;
-                    };
+                    let Some(plan_index) = plan_index_of_key(welcome, level.plan) else { continue };
+                    let Some(plan) = welcome.plans.get(plan_index as usize) else { continue };
                     let int = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
                     // The smallest share of the ceiling that this gatekeeper can have for any shop.
                     let min_share =
@@ -515,7 +498,7 @@
                     let (store, ceiling) = restored_levels(level, &refill_rates, end, now_ms);
                     levels.push(WireLevel {
                         key: *key,
-                        plan: u32::try_from(level.plan).unwrap_or(u32::MAX),
+                        plan: plan_index,
                         store_milli: u64::try_from(store).unwrap_or(0),
                         ceiling_milli: ceiling,
                     });
@@ -544,7 +527,7 @@
                 member.name,
                 levels.len()
             );
-            member.link.send_levels(&levels);
+            member.link.send_levels(welcome, &levels);
         }
         if let Some(gap) = gap {
             tracing::warn!(
--- a/crates/agent/src/record/lifecycle.rs
+++ b/crates/agent/src/record/lifecycle.rs
@@ -8,6 +8,7 @@
     previous_incarnation, should_wait_for,
 };
 use frostvale_link::final_report::{self, FinalReport};
+use frostvale_link::proto::Welcome;
 use frostvale_record::spool::Spool;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
@@ -77,11 +78,13 @@
         }
     }
 
-    /// Records that gatekeeper `k` has reported its usage up to this agent's stop announcement; `number` is
-    /// the sequence number of its last batch.
-    pub fn usage_reported(&self, k: usize, number: u64) {
-        if let Some(member) = self.member(k) {
-            lock(&member.incarnation).reported = Some(i64::try_from(number).unwrap_or(i64::MAX));
+    /// Records that gatekeeper `k`, in the incarnation of this welcome, has reported its usage up to this
+    /// agent's stop announcement; `number` is the sequence number of its last batch.
+    pub fn usage_reported(&self, k: usize, welcome: &Welcome, number: u64) {
+        let Some(member) = self.member(k) else { return };
+        let mut incarnation = lock(&member.incarnation);
+        if incarnation.epoch_ms == super::epoch_ms(welcome) {
+            incarnation.reported = Some(i64::try_from(number).unwrap_or(i64::MAX));
         }
     }
 
@@ -178,10 +181,9 @@
     /// # Errors
     /// If the spool is full or cannot be written.
     async fn spool_final_report(&self, k: usize, report: &FinalReport) -> Result<Incarnation, String> {
-        let tier = crate::fleet::tier_of(&report.welcome);
-        let epoch_ms = i64::try_from(report.welcome.started_ms).unwrap_or(i64::MAX);
+        let epoch_ms = super::epoch_ms(&report.welcome);
         let batches: Vec<_> =
-            report.batches.iter().filter_map(|b| self.to_usage_batch(k, epoch_ms, b, &tier)).collect();
+            report.batches.iter().filter_map(|b| self.to_usage_batch(k, &report.welcome, b)).collect();
         let mut incarnation = Incarnation { epoch_ms, ..Incarnation::default() };
         for batch in &batches {
             incarnation.last_seq = incarnation.last_seq.max(batch.seq);
@@ -198,7 +200,8 @@
         }
         self.upload_wake.notify_one();
         let at_ms = incarnation.last_to_ms;
-        incarnation.levels = report.levels.iter().map(|l| (l.key, super::to_token_level(l, at_ms))).collect();
+        let level = |l| super::to_token_level(&report.welcome, l, at_ms);
+        incarnation.levels = report.levels.iter().filter_map(|l| Some((l.key, level(l)?))).collect();
         Ok(incarnation)
     }
 
--- a/crates/checks/src/lib.rs
+++ b/crates/checks/src/lib.rs
@@ -18,8 +18,6 @@
 /// is set.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Plan {
-    /// The plan's number in the gatekeepers' configuration.
-    pub number: u32,
     /// Sustained rate, in thousandths of a unit per second.
     pub rate_milli: u64,
     /// Capacity of a shop's token bucket, in thousandths of a unit.
@@ -28,14 +26,15 @@
     pub ceiling_rate_milli: u64,
 }
 
-/// Configuration shared by all gatekeepers of a tier.
+/// Configuration shared by all gatekeepers of a tier. Plans and classes go by name: each gatekeeper numbers
+/// its own.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Tier {
     /// Number of gatekeepers.
     pub gatekeepers: u32,
     /// Plans by name. While this is empty, any plan name is accepted.
     pub plans: BTreeMap<String, Plan>,
-    /// Class names; the index is the class number. While this is empty, any class name counts as number 0.
+    /// Class names. While this is empty, any class name is accepted.
     pub classes: Vec<String>,
     /// Largest number of units that one request may ask for, in thousandths; 0 if unknown.
     pub largest_milli: u64,
--- a/crates/checks/src/read.rs
+++ b/crates/checks/src/read.rs
@@ -53,8 +53,8 @@
     pub shop: String,
     /// The plan's name.
     pub plan: String,
-    /// The class's number; 0 if the descriptor names no class.
-    pub class: u32,
+    /// The class's name, if the descriptor names one.
+    pub class: Option<String>,
     /// Requested units, in thousandths.
     pub units_milli: u64,
     /// The shop's set (`first`, `spread`), if the descriptor names it.
@@ -143,17 +143,13 @@
     if !is_valid || u64::from_str_radix(text, 16).is_ok_and(|n| n >= SHOP_NUMBER_LIMIT) {
         return Err(format!("entries[{at}].value: no shop; 16 hex digits, a number below 2^33"));
     }
-    let class = match class {
-        None => 0,
-        Some((at, name)) => match tier.classes.iter().position(|c| c == name) {
-            Some(number) => u32::try_from(number).unwrap_or(0),
-            None if tier.classes.is_empty() => 0,
-            None => {
-                let all = tier.classes.join(", ");
-                return Err(format!("entries[{at}].value: no class of that name; {all}"));
-            }
-        },
-    };
+    if let Some((at, name)) = class
+        && !tier.classes.is_empty()
+        && !tier.classes.iter().any(|c| c == name)
+    {
+        let all = tier.classes.join(", ");
+        return Err(format!("entries[{at}].value: no class of that name; {all}"));
+    }
     let max_gatekeepers = if tier.gatekeepers > 0 { tier.gatekeepers } else { u32::MAX };
     let number = |(index, text): (usize, &str), low: u32, high: u32| {
         let value =
@@ -178,7 +174,7 @@
     Ok(Some(CheckRequest {
         shop: text.to_ascii_lowercase(),
         plan: plan.to_string(),
-        class,
+        class: class.map(|(_, name)| name.to_string()),
         units_milli: hits * 1000,
         set,
     }))
--- a/crates/checks/tests/read.rs
+++ b/crates/checks/tests/read.rs
@@ -12,19 +12,11 @@
 const SHOP: &str = "00000000b4d65521";
 
 fn tier() -> Tier {
-    let plan = |number, rate_milli, ceiling_rate_milli| Plan {
-        number,
-        rate_milli,
-        burst_milli: 6000,
-        ceiling_rate_milli,
-    };
+    let plan = |rate_milli, ceiling_rate_milli| Plan { rate_milli, burst_milli: 6000, ceiling_rate_milli };
     Tier {
         gatekeepers: 3,
-        plans: [
-            ("basico".to_string(), plan(0, 1400, 0)),
-            ("ferreteria".to_string(), plan(1, 10_000, 20_000)),
-        ]
-        .into(),
+        plans: [("basico".to_string(), plan(1400, 0)), ("ferreteria".to_string(), plan(10_000, 20_000))]
+            .into(),
         classes: vec!["formula-read".into(), "mix-record".into()],
         largest_milli: 4000,
     }
@@ -54,8 +46,8 @@
     ]);
     let check = checks.expect("valid call")[0].clone().expect("the descriptor matches a plan");
     assert_eq!(
-        (check.shop.as_str(), check.class, check.units_milli, check.set),
-        (SHOP, 1, 1000, Some((2, 2)))
+        (check.shop.as_str(), check.class.as_deref(), check.units_milli, check.set),
+        (SHOP, Some("mix-record"), 1000, Some((2, 2)))
     );
     let mut own = call(vec![descriptor(&[("shop", SHOP), ("plan", "basico")]); 2]);
     own.hits_addend = 3;
@@ -119,7 +111,7 @@
 #[test]
 fn response_is_over_limit_when_any_descriptor_is_and_has_retry_after() {
     let (check, plan) = (
-        CheckRequest { shop: SHOP.into(), plan: "basico".into(), class: 0, units_milli: 1000, set: None },
+        CheckRequest { shop: SHOP.into(), plan: "basico".into(), class: None, units_milli: 1000, set: None },
         tier().plans["basico"].clone(),
     );
     let of = Some((&check, &plan));
--- a/crates/link/src/agent.rs
+++ b/crates/link/src/agent.rs
@@ -66,13 +66,23 @@
     Busy,
 }
 
-/// What the gatekeeper sends on its own, and changes of the connection.
+/// What a link reports: changes of the connection, and messages of the gatekeeper.
 #[derive(Debug)]
 pub enum LinkEvent {
-    /// The gatekeeper has accepted the connection.
+    /// The gatekeeper has accepted the connection. May be missing if the queue of events was full; what was
+    /// received on the connection carries its welcome.
     Connected(Arc<Welcome>),
     /// The connection has ended, or cannot be made; with the reason.
     Disconnected(String),
+    /// A message, with the welcome of the process that sent it. Indexes and numbers in the message are
+    /// meaningful only together with that welcome: another process may have other lists of plans and classes,
+    /// and numbers from 1 again.
+    Message(Arc<Welcome>, GatekeeperMessage),
+}
+
+/// What a gatekeeper sends on its own.
+#[derive(Debug)]
+pub enum GatekeeperMessage {
     /// A shop's gatekeeper set as the gatekeeper saw it in a request.
     ShopSet(Seen),
     /// An outside service is to be asked; the verdict goes to [`Link::send_verdict`].
@@ -95,17 +105,18 @@
     UsageReported(u64),
 }
 
-/// A message that waits to be sent to the gatekeeper.
+/// A message that waits to be sent to the gatekeeper. One with a welcome refers to lists or numbers of that
+/// process and is sent on no other connection.
 enum Outgoing {
-    Check(Check, oneshot::Sender<Result<Decision, CheckError>>),
+    Check(Arc<Welcome>, Check, oneshot::Sender<Result<Decision, CheckError>>),
     Settle(Settle),
-    Verdict(OutsideVerdict),
+    Verdict(Arc<Welcome>, OutsideVerdict),
     UsageAcknowledged(UseKept),
     Plans(Plans),
     Epochs(Epochs),
     Zones(ZonesGuide),
     FencedOff(Shut),
-    Levels(Vec<Level>),
+    Levels(Arc<Welcome>, Vec<Level>),
     Bye,
 }
 
@@ -162,13 +173,14 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Sends a check and waits for the decision. Returns the check's id with it, so that a held grant can be
-    /// settled. A caller that stops waiting must assume that the check was charged.
+    /// Sends a check to the process of this welcome and waits for the decision. Returns the check's id with
+    /// it, so that a held grant can be settled. A caller that stops waiting must assume that the check was
+    /// charged.
     ///
     /// # Errors
     /// If there is no decision; see [`CheckError`].
-    pub async fn check(&self, mut check: Check) -> Result<(u64, Decision), CheckError> {
-        if self.welcome().is_none() {
+    pub async fn check(&self, to: &Arc<Welcome>, mut check: Check) -> Result<(u64, Decision), CheckError> {
+        if self.welcome().is_none_or(|welcome| !Arc::ptr_eq(&welcome, to)) {
             return Err(CheckError::Unsent);
         }
         let shared = &self.shared;
@@ -179,7 +191,7 @@
         let id = shared.next_id.fetch_add(1, Ordering::Relaxed);
         check.id = id;
         let (reply_sender, reply) = oneshot::channel();
-        if self.outgoing.try_send(Outgoing::Check(check, reply_sender)).is_err() {
+        if self.outgoing.try_send(Outgoing::Check(to.clone(), check, reply_sender)).is_err() {
             shared.in_flight.fetch_sub(1, Ordering::Relaxed);
             return Err(CheckError::Busy);
         }
@@ -216,15 +228,16 @@
         let _ = self.outgoing.try_send(Outgoing::FencedOff(fenced_off));
     }
 
-    /// Sends the bucket levels that the gatekeeper's previous process had, to be restored.
-    pub fn send_levels(&self, levels: &[Level]) {
+    /// Sends the bucket levels that the gatekeeper's previous process had, to be restored by the process of
+    /// this welcome.
+    pub fn send_levels(&self, to: &Arc<Welcome>, levels: &[Level]) {
         for part in levels.chunks(MAX_LEVELS_PER_FRAME) {
-            let _ = self.outgoing.try_send(Outgoing::Levels(part.to_vec()));
+            let _ = self.outgoing.try_send(Outgoing::Levels(to.clone(), part.to_vec()));
         }
     }
 
     /// Announces that this agent stops. The gatekeeper reports its usage so far and then sends the number of
-    /// the last batch, which arrives as [`LinkEvent::UsageReported`].
+    /// the last batch, which arrives as [`GatekeeperMessage::UsageReported`].
     pub fn announce_stop(&self) {
         let _ = self.outgoing.try_send(Outgoing::Bye);
     }
@@ -235,9 +248,10 @@
         self.shared.stopping.load(Ordering::Relaxed)
     }
 
-    /// Sends the verdict of an outside service.
-    pub fn send_verdict(&self, verdict: OutsideVerdict) {
-        let _ = self.outgoing.try_send(Outgoing::Verdict(verdict));
+    /// Sends the verdict of an outside service to the process of this welcome, which asked for it. It is
+    /// dropped if the connection has ended: each process numbers its calls by itself.
+    pub fn send_verdict(&self, to: &Arc<Welcome>, verdict: OutsideVerdict) {
+        let _ = self.outgoing.try_send(Outgoing::Verdict(to.clone(), verdict));
     }
 }
 
@@ -275,6 +289,7 @@
         let mut session = Session {
             shared: &shared,
             events: &events,
+            welcome: None,
             undecided: HashMap::new(),
             unwritten: VecDeque::new(),
         };
@@ -309,7 +324,7 @@
 
 /// Fails a check that was not sent; other messages are dropped.
 fn fail_unsent(shared: &Shared, message: Outgoing) {
-    if let Outgoing::Check(_, reply_sender) = message {
+    if let Outgoing::Check(_, _, reply_sender) = message {
         shared.in_flight.fetch_sub(1, Ordering::Relaxed);
         let _ = reply_sender.send(Err(CheckError::Unsent));
     }
@@ -319,6 +334,8 @@
 struct Session<'a> {
     shared: &'a Shared,
     events: &'a mpsc::Sender<LinkEvent>,
+    /// The welcome of the process at the other end, once it has accepted the connection.
+    welcome: Option<Arc<Welcome>>,
     /// Undecided checks by id.
     undecided: HashMap<u64, oneshot::Sender<Result<Decision, CheckError>>>,
     /// For each frame that the socket has not accepted whole: the bytes that remain, and the ids of its
@@ -349,6 +366,7 @@
         let Some(welcome) = first.welcome.take().map(Arc::new) else {
             return Err((format!("the gatekeeper sent no welcome: {}", printable(&first.bye)), false));
         };
+        self.welcome = Some(welcome.clone());
         self.shared.set_welcome(Some(welcome.clone()));
         let _ = self.events.try_send(LinkEvent::Connected(welcome));
         self.handle_frame(first);
@@ -409,15 +427,21 @@
         for message in outgoing {
             match message {
                 // The caller has stopped waiting before the check was sent: nothing need be charged.
-                Outgoing::Check(_, reply_sender) if reply_sender.is_closed() => {
+                Outgoing::Check(_, _, reply_sender) if reply_sender.is_closed() => {
                     self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
                 }
-                Outgoing::Check(check, reply_sender) => {
+                // Made for a connection that has ended since.
+                Outgoing::Check(ref to, ..) | Outgoing::Verdict(ref to, _) | Outgoing::Levels(ref to, _)
+                    if !self.is_connected_to(to) =>
+                {
+                    fail_unsent(self.shared, message);
+                }
+                Outgoing::Check(_, check, reply_sender) => {
                     self.undecided.insert(check.id, reply_sender);
                     frame.checks.push(check);
                 }
                 Outgoing::Settle(settle) => frame.settles.push(settle),
-                Outgoing::Verdict(verdict) => frame.outside.push(verdict),
+                Outgoing::Verdict(_, verdict) => frame.outside.push(verdict),
                 Outgoing::UsageAcknowledged(numbers) => frame.use_kept.push(numbers),
                 Outgoing::Plans(plans) => frame.plans = Some(plans),
                 Outgoing::Zones(zone_decision) => frame.zones = Some(zone_decision),
@@ -429,7 +453,7 @@
                 }
                 Outgoing::Bye => frame.bye = "the agent stops".into(),
                 // Levels fill a frame by themselves.
-                Outgoing::Levels(levels) => {
+                Outgoing::Levels(_, levels) => {
                     let alone = ToNode { levels, ..ToNode::default() };
                     let before = bytes.len();
                     codec::append_frame(bytes, &alone).map_err(|e| e.to_string())?;
@@ -449,6 +473,18 @@
         Ok(())
     }
 
+    /// Whether the process at the other end sent this welcome, on this connection.
+    fn is_connected_to(&self, welcome: &Arc<Welcome>) -> bool {
+        self.welcome.as_ref().is_some_and(|own| Arc::ptr_eq(own, welcome))
+    }
+
+    /// Queues a message of the gatekeeper for the receiver of events. Dropped if the queue is full.
+    fn pass_on(&self, message: GatekeeperMessage) {
+        if let Some(welcome) = &self.welcome {
+            let _ = self.events.try_send(LinkEvent::Message(welcome.clone(), message));
+        }
+    }
+
     /// Records that the socket accepted `n` bytes.
     fn record_written(&mut self, mut n: usize) {
         while n > 0
@@ -477,36 +513,36 @@
             self.shared.stopping.store(true, Ordering::Relaxed);
         }
         for seen in frame.seen {
-            let _ = self.events.try_send(LinkEvent::ShopSet(seen));
+            self.pass_on(GatekeeperMessage::ShopSet(seen));
         }
         for ask in frame.outside {
             // If it is dropped, it times out at the gatekeeper and counts as failed there.
-            let _ = self.events.try_send(LinkEvent::OutsideRequest(ask));
+            self.pass_on(GatekeeperMessage::OutsideRequest(ask));
         }
         for state in frame.outside_states {
-            let _ = self.events.try_send(LinkEvent::BreakerState(state));
+            self.pass_on(GatekeeperMessage::BreakerState(state));
         }
         for batch in frame.r#use {
             // If it is dropped, it is not acknowledged, and the gatekeeper sends it again.
-            let _ = self.events.try_send(LinkEvent::UsageBatch(batch));
+            self.pass_on(GatekeeperMessage::UsageBatch(batch));
         }
         if !frame.levels.is_empty() {
-            let _ = self.events.try_send(LinkEvent::TokenLevels(frame.levels));
+            self.pass_on(GatekeeperMessage::TokenLevels(frame.levels));
         }
         if let Some(taken) = frame.plans_taken {
-            let _ = self.events.try_send(LinkEvent::PlansTaken(taken));
+            self.pass_on(GatekeeperMessage::PlansTaken(taken));
         }
         for refused in frame.refused {
-            let _ = self.events.try_send(LinkEvent::FenceRefused(refused));
+            self.pass_on(GatekeeperMessage::FenceRefused(refused));
         }
         if let Some(seen) = frame.zones {
-            let _ = self.events.try_send(LinkEvent::ZoneObservation(seen));
+            self.pass_on(GatekeeperMessage::ZoneObservation(seen));
         }
         if let Some(acts) = frame.acts {
-            let _ = self.events.try_send(LinkEvent::AppliedVersions(acts));
+            self.pass_on(GatekeeperMessage::AppliedVersions(acts));
         }
         if let Some(number) = frame.reported {
-            let _ = self.events.try_send(LinkEvent::UsageReported(number));
+            self.pass_on(GatekeeperMessage::UsageReported(number));
         }
     }
 
--- a/crates/record/src/model.rs
+++ b/crates/record/src/model.rs
@@ -288,7 +288,7 @@
 pub struct TokenLevel {
     /// The shop's key in messages between gatekeepers.
     pub key: i64,
-    /// The index of the plan at the gatekeeper.
+    /// The key of the plan, which stands for its name; in rows of earlier versions its index at the gatekeeper.
     pub plan: i64,
     /// The level of the quota's token bucket, in thousandths.
     pub store_milli: i64,
