Outside calls are numbered on after a reload, and asked for the plans in effect

A policy that SIGHUP made for a changed [outside] numbered its calls from 1 again, so a late verdict to a call of the former one decided the request of another shop. And it took the numbers of its plans from the configuration that was read again, whose plans wait for a restart: with them in another order another plan was asked for.

Change: numbers go on from the former policy's last call; the modes of [outside] are renumbered by name as the plans in effect are.

--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -240,6 +240,19 @@
         })
     }
 
+    /// Has calls numbered from above `last_call`, the last call of the policies before this one: a late
+    /// verdict to one of theirs must not be taken for the verdict to a new call.
+    #[must_use]
+    pub fn with_calls_after(self, last_call: u64) -> OutsidePolicy {
+        OutsidePolicy { last_call, ..self }
+    }
+
+    /// Returns the number of the last call.
+    #[must_use]
+    pub fn last_call(&self) -> u64 {
+        self.last_call
+    }
+
     /// Returns the breaker's state.
     #[must_use]
     pub fn breaker(&self) -> BreakerState {
--- a/src/bin/frostvale/gatekeeper.rs
+++ b/src/bin/frostvale/gatekeeper.rs
@@ -121,6 +121,8 @@
     checks: HashMap<u64, (u64, Rc<dyn CheckClient>)>,
     agents: Option<Rc<dyn AgentLinks>>,
     outside: Option<OutsidePolicy>,
+    /// The number of the last call to the outside service under former policies.
+    last_outside_call: u64,
     usage: Option<Usage>,
     peers: Option<Peers>,
     /// Events that wait until the one being dispatched is done.
@@ -173,6 +175,7 @@
                 checks: HashMap::new(),
                 agents: None,
                 outside: None,
+                last_outside_call: 0,
                 usage: None,
                 peers,
                 events: VecDeque::new(),
--- a/src/bin/frostvale/gatekeeper/outside.rs
+++ b/src/bin/frostvale/gatekeeper/outside.rs
@@ -11,7 +11,10 @@
     /// decided by the failure mode.
     pub fn set_outside(&mut self, outside: Option<OutsidePolicy>) {
         self.link_lost();
-        self.outside = outside;
+        if let Some(former) = &self.outside {
+            self.last_outside_call = former.last_call();
+        }
+        self.outside = outside.map(|policy| policy.with_calls_after(self.last_outside_call));
     }
 
     /// Sets the connection to the linked agents.
--- a/src/bin/frostvale/local_settings.rs
+++ b/src/bin/frostvale/local_settings.rs
@@ -176,6 +176,18 @@
         Self::parse(&text, conf).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// Numbers the plans of `outside` as the plans `in_effect` are. It was read with the plans of `listed`,
+    /// which take effect at a restart only.
+    pub fn renumber_outside_plans(&mut self, listed: &RawSettings, in_effect: &RawSettings) {
+        let Some(outside) = &mut self.outside else { return };
+        let mode = |name: &str| {
+            let at = listed.plans.iter().position(|plan| plan.name == name)?;
+            outside.plans.get(at).copied().flatten()
+        };
+        let renumbered = in_effect.plans.iter().map(|plan| mode(&plan.name)).collect();
+        outside.plans = renumbered;
+    }
+
     fn parse(text: &str, conf: &RawSettings) -> Result<LocalSettings, String> {
         // A TOML error has several lines, with an excerpt of the file; the error has to be one line.
         let one_line = |e: toml::de::Error| e.to_string().lines().collect::<Vec<_>>().join(" ");
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -199,8 +199,10 @@
     let (reporting, mut own) = (links.clone(), local.digest);
     spawn_local(async move {
         while sighup.recv().await.is_some() {
-            let loaded = load_settings(true)
-                .and_then(|(config, local)| Ok((config, new_outside_policy(&local)?, local)));
+            let loaded = load_settings(true).and_then(|(config, mut local)| {
+                local.renumber_outside_plans(&config.conf, &reloaded.borrow().conf);
+                Ok((config, new_outside_policy(&local)?, local))
+            });
             match loaded {
                 // Sent even if the address is unchanged: the whole list is then fetched once more.
                 Ok((config, policy, local)) => {
