--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -7,12 +7,13 @@
 //! it would be wasted.
 
 mod answers;
+mod commands;
+mod writing;
 
 use crate::budget::MemoryShare;
-use crate::client_request::ClientRequest;
 use crate::gatekeeper::{ResponseSink, Shared};
 use crate::receive_time::{ConnectionId, ReceiveTimes};
-use crate::resp::{self, Command, CommandSkipper, ProtocolError};
+use crate::resp::CommandSkipper;
 use answers::AnswerQueue;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -30,8 +31,6 @@
 /// Limit of answers that wait for nothing but the client. A connection that stays above it for
 /// `COMMAND_TIMEOUT` is closed.
 const MAX_UNREAD_BYTES: usize = 1 << 20;
-/// Sent in place of an answer that does not fit into the memory left for answers: the request has failed.
-const DISCARDED_ANSWER: &[u8] = b"-ERR no memory left to keep the answer\r\n";
 /// Read buffer that a connection keeps between commands, and may use even when the memory budget is
 /// exhausted.
 const RETAINED_BUFFER_BYTES: usize = 16 * 1024;
@@ -215,96 +214,6 @@
         ConnectionSummary { is_unread: self.is_unread.get(), discarded_answers: self.discarded_answers.get() }
     }
 
-    /// Queues an answer that needs no request, in its turn.
-    fn respond(&self, bytes: &[u8]) {
-        let mut answers = self.answers.borrow_mut();
-        if answers.is_empty() {
-            self.write_or_keep(&mut answers, bytes);
-        } else {
-            let kept = self.fit_into_memory(&answers, bytes).to_vec();
-            answers.push_ready(kept);
-        }
-        self.update_backlog(&answers);
-    }
-
-    /// Writes to the socket. Returns how many bytes it has taken.
-    fn try_write(&self, bytes: &[u8]) -> usize {
-        if self.state.get() == ConnectionState::Closed {
-            return 0;
-        }
-        match self.stream.try_write(bytes) {
-            Ok(count) => count,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
-            Err(_) => {
-                self.advance_to(ConnectionState::Closed);
-                0
-            }
-        }
-    }
-
-    /// Writes an answer before which there is no other. What the socket does not take is kept for the
-    /// connection's task.
-    fn write_or_keep(&self, answers: &mut AnswerQueue, bytes: &[u8]) {
-        let rest = match self.try_write(bytes) {
-            0 => self.fit_into_memory(answers, bytes),
-            count => &bytes[count..],
-        };
-        answers.set_unwritten(rest.to_vec());
-    }
-
-    /// Writes the answers that no longer wait for an earlier one, until the socket takes no more.
-    fn write_ready_answers(&self, answers: &mut AnswerQueue) {
-        while answers.unwritten().is_empty() {
-            let mut joined = answers.take_ready();
-            if joined.is_empty() {
-                return;
-            }
-            let count = self.try_write(&joined);
-            answers.set_unwritten(joined.split_off(count));
-        }
-    }
-
-    /// Returns an answer that has to be kept here, or an error in its place if all connections together hold
-    /// too many bytes of answers. Ending the connection instead would lose its other requests, which may be
-    /// kept for an earlier one and not for want of a client that reads.
-    fn fit_into_memory<'a>(&self, answers: &AnswerQueue, bytes: &'a [u8]) -> &'a [u8] {
-        let backlog = answers.backlog_bytes() + bytes.len();
-        if bytes.len() <= DISCARDED_ANSWER.len() || self.unread.update(backlog, RETAINED_BUFFER_BYTES) {
-            return bytes;
-        }
-        self.discarded_answers.set(self.discarded_answers.get() + 1);
-        DISCARDED_ANSWER
-    }
-
-    /// Reports the bytes held to the budget and wakes the connection's task where it has something to do.
-    fn update_backlog(&self, answers: &AnswerQueue) {
-        self.unread.update(answers.backlog_bytes(), RETAINED_BUFFER_BYTES);
-        if !answers.unwritten().is_empty() || self.state.get() != ConnectionState::Open {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Writes the kept bytes and further answers as far as the socket takes them.
-    fn flush(&self) {
-        let mut answers = self.answers.borrow_mut();
-        let had_room = answers.has_room();
-        let count = self.try_write(answers.unwritten());
-        answers.record_written(count);
-        self.write_ready_answers(&mut answers);
-        if !had_room && answers.has_room() {
-            self.restart_command_time();
-        }
-        self.unread.update(answers.backlog_bytes(), RETAINED_BUFFER_BYTES);
-    }
-
-    /// Gives the client the whole time for the rest of a command: none of it was read while the pipeline was
-    /// full.
-    fn restart_command_time(&self) {
-        if let (ExpectedCommand::RestOfLater, _) = self.expected.get() {
-            self.expected.set((ExpectedCommand::RestOfLater, Instant::now()));
-        }
-    }
-
     /// Whether no answer is pending or unwritten.
     fn is_drained(&self) -> bool {
         self.answers.borrow().is_empty()
@@ -535,113 +444,4 @@
         })
         .await;
     }
-
-    /// Starts every complete command in `bytes` as far as the pipeline has room, and returns whether there
-    /// was one. `received_at` is when the last of the bytes arrived: the client's deadline runs while its
-    /// command waits here.
-    fn start_commands(
-        self: &Rc<Client>,
-        gatekeeper: &Shared,
-        bytes: &mut Vec<u8>,
-        received_at: Instant,
-    ) -> Result<bool, ProtocolError> {
-        let mut at = 0;
-        let result = loop {
-            if !self.answers.borrow().has_room() {
-                break Ok(());
-            }
-            match resp::command(&bytes[at..]) {
-                Ok(Some(command)) => {
-                    self.start_command(gatekeeper, &bytes[at..], &command, received_at);
-                    at += command.len;
-                }
-                Ok(None) => break Ok(()),
-                Err(error) => break Err(error),
-            }
-        };
-        if at == bytes.len() && bytes.capacity() > RETAINED_BUFFER_BYTES {
-            *bytes = Vec::new();
-        } else {
-            bytes.drain(..at);
-        }
-        if at > 0 {
-            self.expected.set((ExpectedCommand::Next, Instant::now()));
-        }
-        result.map(|()| at > 0)
-    }
-
-    /// Whether a command is being discarded.
-    fn is_skipping(&self) -> bool {
-        self.skipper.borrow().is_some()
-    }
-
-    /// Discards what has arrived of a command for which there is no memory, and refuses it once it is
-    /// complete. The commands behind it are not affected. Returns whether it is complete.
-    fn skip_command(&self, bytes: &mut Vec<u8>) -> Result<bool, ProtocolError> {
-        let is_complete =
-            self.skipper.borrow_mut().as_mut().map_or(Ok(true), |skipper| skipper.skip(bytes))?;
-        if bytes.is_empty() {
-            *bytes = Vec::new();
-        }
-        if is_complete {
-            self.skipper.replace(None);
-            self.expected.set((ExpectedCommand::Next, Instant::now()));
-            self.respond(b"-BUSY\r\n");
-        }
-        Ok(is_complete)
-    }
-
-    /// Parses and starts one command, or answers it at once.
-    fn start_command(
-        self: &Rc<Client>,
-        gatekeeper: &Shared,
-        bytes: &[u8],
-        command: &Command,
-        received_at: Instant,
-    ) {
-        let name = command.part(bytes, 0);
-        if name == b"Q.ASK" || name == b"Q.DO" {
-            if self.state.get() >= ConnectionState::Rejecting {
-                return self.respond(b"-BUSY\r\n");
-            }
-            let request = {
-                let gatekeeper = gatekeeper.borrow();
-                ClientRequest::parse(
-                    &gatekeeper.conf,
-                    &gatekeeper.settings,
-                    |wire| gatekeeper.is_open(wire),
-                    bytes,
-                    command,
-                )
-            };
-            match request {
-                Ok(mut request) => {
-                    request.wait_ms -= received_at.elapsed().as_secs_f64() * 1000.0;
-                    let mut gatekeeper = gatekeeper.borrow_mut();
-                    if !gatekeeper.has_room(request.command.len()) {
-                        return self.respond(b"-BUSY\r\n");
-                    }
-                    let id = gatekeeper.next_id();
-                    self.answers.borrow_mut().push_pending(id);
-                    gatekeeper.handle_request(id, request, self.clone());
-                }
-                Err(what) => self.respond(format!("-ERR {what}\r\n").as_bytes()),
-            }
-        } else if name.eq_ignore_ascii_case(b"PING") {
-            let mut pong = Vec::new();
-            match command.count {
-                1 => pong.extend_from_slice(b"+PONG\r\n"),
-                _ => resp::put_bulk(&mut pong, command.part(bytes, 1)),
-            }
-            if gatekeeper.borrow().is_serving() {
-                return self.respond(&pong);
-            }
-            let mut gatekeeper = gatekeeper.borrow_mut();
-            let id = gatekeeper.next_id();
-            self.answers.borrow_mut().push_pending(id);
-            gatekeeper.answer_once_serving(id, self.clone(), pong);
-        } else {
-            self.respond(b"-ERR unknown command\r\n");
-        }
-    }
 }
