A client that reads steadily over a slow line is not cut off

Found while the change was read again. The first form of the fix allowed a client 2.5 s for all that it leaves unread above 1 MiB; but up to 8 MiB are let go at once when a slow answer comes, so a client that reads without a pause had to read some 3 MB a second. It is the same cause, in time: what we hold back and then let go was held against the client.

Change: above 1 MiB the client has to read 256 KiB in each 2.5 s. What a client that hardly reads may keep is as before: the answers of its 128 commands.

pipelined_requests_are_all_answered_when_client_has_a_slow_line (650 KB a second, 7.8 MB of answers) failed on the former form, with 39 of 120 requests never answered, and passes; client_is_disconnected_when_it_never_reads_its_answers passes unchanged.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -28,9 +28,12 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Limit of answers that wait for nothing but the client. A connection that stays above it for
-/// `COMMAND_TIMEOUT` is closed.
+/// Limit of answers that wait for nothing but the client. Above it the client has to read `MIN_READ_BYTES` in
+/// each `COMMAND_TIMEOUT`, or its connection is closed: one that sends and hardly reads must not fill the
+/// memory.
 const MAX_UNREAD_BYTES: usize = 1 << 20;
+/// What a client that leaves over `MAX_UNREAD_BYTES` unread has to read in each `COMMAND_TIMEOUT`.
+const MIN_READ_BYTES: u64 = 256 * 1024;
 /// Read buffer that a connection keeps between commands, and may use even when the memory budget is
 /// exhausted.
 const RETAINED_BUFFER_BYTES: usize = 16 * 1024;
@@ -91,8 +94,11 @@
     stream: TcpStream,
     state: Cell<ConnectionState>,
     answers: RefCell<AnswerQueue>,
-    /// Time since which answers of over `MAX_UNREAD_BYTES` wait for the client.
-    over_unread_limit_since: Cell<Option<Instant>>,
+    /// Bytes that the socket has taken since the connection was accepted.
+    written_bytes: Cell<u64>,
+    /// While answers of over `MAX_UNREAD_BYTES` wait for the client: when the client last was known to have
+    /// read enough, and `written_bytes` at that time.
+    last_progress: Cell<Option<(Instant, u64)>>,
     /// Present while a command is discarded for which there is no memory.
     skipper: RefCell<Option<CommandSkipper>>,
     /// Whether it was closed because the client did not read its answers.
@@ -160,7 +166,8 @@
             stream,
             state: Cell::new(ConnectionState::Open),
             answers: RefCell::default(),
-            over_unread_limit_since: Cell::new(None),
+            written_bytes: Cell::new(0),
+            last_progress: Cell::new(None),
             skipper: RefCell::default(),
             is_unread: Cell::new(false),
             discarded_answers: Cell::new(0),
@@ -225,6 +232,19 @@
         self.advance_to(ConnectionState::Closing);
     }
 
+    /// Returns since when a client that leaves too much unread has read less than it has to; `None` where it
+    /// does not leave too much unread.
+    fn update_read_progress(&self, now: Instant) -> Option<Instant> {
+        let is_over_limit = self.answers.borrow().unread_bytes() > MAX_UNREAD_BYTES;
+        let written_bytes = self.written_bytes.get();
+        let progress = match self.last_progress.get() {
+            Some((at, before)) if written_bytes - before < MIN_READ_BYTES => (at, before),
+            _ => (now, written_bytes),
+        };
+        self.last_progress.set(is_over_limit.then_some(progress));
+        self.last_progress.get().map(|(at, _)| at)
+    }
+
     /// Closes the connection of a client that does not read its answers.
     fn close_unread(&self) {
         let answers = self.answers.borrow();
@@ -242,14 +262,9 @@
     /// without a command.
     pub fn check_timeouts(&self, now: Instant, idle_limit: Duration) {
         let has_passed = |since: Instant, limit: Duration| now.saturating_duration_since(since) > limit;
-        let (blocked_since, over_limit_since) = {
-            let answers = self.answers.borrow();
-            let is_over_limit = answers.unread_bytes() > MAX_UNREAD_BYTES;
-            let since = self.over_unread_limit_since.get().unwrap_or(now);
-            self.over_unread_limit_since.set(is_over_limit.then_some(since));
-            (answers.blocked_since(), self.over_unread_limit_since.get())
-        };
-        if [blocked_since, over_limit_since].into_iter().flatten().any(|s| has_passed(s, COMMAND_TIMEOUT)) {
+        let blocked_since = self.answers.borrow().blocked_since();
+        let slow_since = self.update_read_progress(now);
+        if [blocked_since, slow_since].into_iter().flatten().any(|since| has_passed(since, COMMAND_TIMEOUT)) {
             return self.close_unread();
         }
         if self.state.get() != ConnectionState::Open || !self.is_drained() {
--- a/src/bin/frostvale/client/writing.rs
+++ b/src/bin/frostvale/client/writing.rs
@@ -28,7 +28,10 @@
             return 0;
         }
         match self.stream.try_write(bytes) {
-            Ok(count) => count,
+            Ok(count) => {
+                self.written_bytes.set(self.written_bytes.get() + count as u64);
+                count
+            }
             Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
             Err(_) => {
                 self.advance_to(ConnectionState::Closed);
--- a/tests/node/pipelines.rs
+++ b/tests/node/pipelines.rs
@@ -120,6 +120,25 @@
     }
 }
 
+/// A client reads without a pause, but over a slow line: over 1 MiB waits for it for longer than a client may
+/// read nothing, and it still gets all its answers.
+#[test]
+fn pipelined_requests_are_all_answered_when_client_has_a_slow_line() {
+    const COMMANDS_IN_FLIGHT: usize = 120;
+    const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+    let (worker, _discovery, node) = start_with_one_worker();
+    let (mut client, attempts) = start_pipeline(&node, &worker, COMMANDS_IN_FLIGHT);
+    let buffer = socket2::SockRef::from(client.read.get_ref()).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    buffer.expect("a socket");
+    let mut first = answer_all_but_first(&node, attempts);
+    first.send_value(&long_value(0));
+    for number in 0..COMMANDS_IN_FLIGHT {
+        assert_is_value(&client.read_answer(), number);
+        // About 650 KB a second.
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// A client that sends and never reads is disconnected, and until then no more of its commands are started
 /// than a connection may have in flight.
 #[test]
