Tests: other clients beside flooding ones, alone and with four gatekeepers on a core

While a few clients send small or unsound requests at full speed, others get their answers seconds late or never. No test had such clients.

Change: tests/node/floods.rs measures what eight other clients get beside six flooding ones, for nine kinds of floods, and at each of four gatekeepers that share one core, all of them flooded. All of the others' answers have to come in time and nine in ten of their requests have to be served. The tests can also run another build of the gatekeeper (FROSTVALE_PROGRAM).

--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -158,6 +158,17 @@
         if head.starts_with('$') { self.read_line() } else { head }
     }
 
+    /// Reads an answer as `read_answer` does; `None` at the end of the connection or of the read timeout.
+    pub fn read_answer_or_end(&mut self) -> Option<String> {
+        let mut read_line = || {
+            let mut line = String::new();
+            let count = self.read.read_line(&mut line).ok()?;
+            (count > 0).then(|| line.trim_end().to_string())
+        };
+        let head = read_line()?;
+        if head.starts_with('$') { read_line() } else { Some(head) }
+    }
+
     /// Reads a command and returns its arguments.
     pub fn read_command(&mut self) -> Vec<String> {
         let head = self.read_line();
@@ -474,13 +485,19 @@
     node
 }
 
+/// The gatekeeper's program: the one that was built with the tests, or the one that `FROSTVALE_PROGRAM` names,
+/// so that two builds can be compared.
+fn program() -> String {
+    std::env::var("FROSTVALE_PROGRAM").unwrap_or_else(|_| env!("CARGO_BIN_EXE_frostvale").into())
+}
+
 /// Starts the process without waiting until it serves.
 pub fn spawn(config: &str, shell: &str) -> Node {
     let path = write_config(config);
     let spawn_guard = PROBE_OR_SPAWN_LOCK.lock().expect("an unpoisoned lock");
     let mut child = Command::new("/bin/sh")
         .arg("-c")
-        .arg(format!("{shell} {}", env!("CARGO_BIN_EXE_frostvale")))
+        .arg(format!("{shell} {}", program()))
         .env("GW_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,8 @@
 
 mod clients;
 mod discovery;
+mod flood_clients;
+mod floods;
 mod harness;
 mod large_updates;
 mod malformed;
