Clients share the event loop: work in bounded slices, a queue with rests for the busiest

Cause: a connection's task in src/bin/frostvale/client.rs went on for as long as its socket had more to read: reads and commands that are answered at once never suspend it, and tokio's cooperative budget is not charged by readiness. The same holds for the half-closed state, which reads and drops: a client that goes on sending after its error line kept the loop for all of its 0.5 s and longer, as the timer could not fire. Class of bug: work whose amount the sender sets, done in one turn of the event loop.

Change: fair_share.rs. Commands are started, and input is dropped, in slices of 32 items or 200 us. Each connection has an allowance of time; one that has used it up waits in a first-in-first-out queue with all other such ones, and after 2 ms of their slices the queue rests for three times as long by the wall clock, so that a process on a shared core leaves it before its turn is over. The listener pays for its accepts in the same way. The connection's task moved to client/serving.rs. Connections that wait for their slice are not taken for idle. Clients::trim_lingering no longer allocates on each accept.

The test of commands behind a long one assumed that incomplete commands of 150 clients are read one after another; it now sends them so, and waits until the process has read each.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -8,25 +8,22 @@
 
 mod answers;
 mod commands;
+mod serving;
 mod writing;
 
 use crate::budget::MemoryShare;
-use crate::gatekeeper::{ResponseSink, Shared};
+use crate::fair_share::Source;
+use crate::gatekeeper::ResponseSink;
 use crate::receive_time::{ConnectionId, ReceiveTimes};
 use crate::resp::CommandSkipper;
 use answers::AnswerQueue;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
-use std::net::Shutdown;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 /// Limit of answers that wait for nothing but the client. Above it the client has to read `MIN_READ_BYTES` in
 /// each `COMMAND_TIMEOUT`, or its connection is closed: one that sends and hardly reads must not fill the
@@ -114,6 +111,10 @@
     unread: MemoryShare,
     receive_times: Rc<ReceiveTimes>,
     connection_id: Option<ConnectionId>,
+    /// The connection as a source of work for the event loop.
+    source: Source,
+    /// Whether commands have been read that wait for this connection's turn.
+    awaits_slice: Cell<bool>,
 }
 
 impl ResponseSink for Client {
@@ -157,6 +158,7 @@
         unread: MemoryShare,
         slot_freed: Rc<Notify>,
         receive_times: Rc<ReceiveTimes>,
+        source: Source,
     ) -> Client {
         // Small answers must not wait for acknowledgements. A socket on which this fails also fails its first
         // read.
@@ -177,6 +179,8 @@
             reading,
             unread,
             receive_times,
+            source,
+            awaits_slice: Cell::new(false),
         }
     }
 
@@ -199,6 +203,7 @@
     pub fn is_idle(&self) -> bool {
         self.state.get() == ConnectionState::Open
             && self.is_drained()
+            && !self.awaits_slice.get()
             && self.expected.get().0 != ExpectedCommand::RestOfLater
     }
 
@@ -267,7 +272,7 @@
         if [blocked_since, slow_since].into_iter().flatten().any(|since| has_passed(since, COMMAND_TIMEOUT)) {
             return self.close_unread();
         }
-        if self.state.get() != ConnectionState::Open || !self.is_drained() {
+        if self.state.get() != ConnectionState::Open || !self.is_drained() || self.awaits_slice.get() {
             return;
         }
         match self.expected.get() {
@@ -288,175 +293,4 @@
             _ => {}
         }
     }
-
-    /// Reads what has arrived, up to a bound. Returns `Ok(false)` where nothing has, and `Err` where the
-    /// client has disconnected: that is checked before any command it sent is started.
-    fn read(&self, bytes: &mut Vec<u8>) -> Result<bool, ()> {
-        let before = bytes.len();
-        loop {
-            bytes.reserve(2048);
-            match self.stream.try_read_buf(bytes) {
-                Ok(0) => return Err(()),
-                Ok(_) if bytes.len() < RETAINED_BUFFER_BYTES => {}
-                Ok(_) => return Ok(true),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(bytes.len() > before),
-                Err(_) => return Err(()),
-            }
-        }
-    }
-
-    /// When the last of the bytes that are read arrived, independent of when this process was scheduled.
-    fn last_received(&self) -> Instant {
-        let id = self.connection_id.as_ref();
-        id.map_or_else(Instant::now, |id| self.receive_times.last_received(id))
-    }
-
-    /// Waits until the client disconnects, also with unread bytes before the end of file: nothing else of it
-    /// is wanted now.
-    async fn disconnected(&self) {
-        // A socket that is polled for priority data alone becomes ready here only when the peer closes.
-        let _ = self.stream.ready(Interest::PRIORITY).await;
-    }
-
-    /// Waits until there is something to read. Returns false where the client has disconnected, whatever it
-    /// sent before.
-    async fn readable(&self) -> bool {
-        self.stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed())
-    }
-
-    /// Serves the connection until either side ends it.
-    pub async fn serve(self: &Rc<Client>, gatekeeper: &Shared) {
-        if self.process_commands(gatekeeper).await.is_ok() {
-            self.close_gracefully().await;
-        }
-        self.state.set(ConnectionState::Closed);
-    }
-
-    /// Serves commands. Returns `Ok` once the sending side may be closed, `Err` where the client has
-    /// disconnected.
-    async fn process_commands(self: &Rc<Client>, gatekeeper: &Shared) -> Result<(), ()> {
-        let mut bytes: Vec<u8> = Vec::new();
-        let mut received_at = Instant::now();
-        loop {
-            if self.state.get() == ConnectionState::Closed {
-                return Err(());
-            }
-            // Commands that arrived while the pipeline was full are started once it has room.
-            let has_room = self.answers.borrow().has_room();
-            if has_room && !bytes.is_empty() {
-                let started = match self.is_skipping() {
-                    true => self.skip_command(&mut bytes),
-                    false => self.start_commands(gatekeeper, &mut bytes, received_at),
-                };
-                match started {
-                    Ok(true) => continue,
-                    Ok(false) => match self.expected.get() {
-                        (ExpectedCommand::Next, _) => {
-                            self.expected.set((ExpectedCommand::RestOfLater, received_at))
-                        }
-                        (ExpectedCommand::First, since) => {
-                            self.expected.set((ExpectedCommand::RestOfFirst, since))
-                        }
-                        _ => {}
-                    },
-                    Err(error) => {
-                        bytes = Vec::new();
-                        self.close_with_error(error.0);
-                    }
-                }
-            }
-            // While the pipeline is full, `bytes` may hold commands that are only not started yet.
-            if !self.reading.update(bytes.capacity(), RETAINED_BUFFER_BYTES) && has_room {
-                bytes.shrink_to_fit();
-                let is_too_long = !self.reading.update(bytes.capacity(), RETAINED_BUFFER_BYTES);
-                if is_too_long && !self.is_skipping() {
-                    self.skipper.replace(CommandSkipper::start(&mut bytes).unwrap_or_default());
-                    if self.is_skipping() {
-                        continue;
-                    }
-                }
-            }
-            let (is_drained, state) = (self.is_drained(), self.state.get());
-            match state {
-                ConnectionState::ClosingIdle if is_drained => {
-                    if !self.read(&mut bytes)? {
-                        return Ok(());
-                    }
-                    (received_at, _) = (self.last_received(), self.state.set(ConnectionState::Open));
-                    continue;
-                }
-                ConnectionState::Stopping if is_drained => {
-                    if self.read(&mut bytes)? {
-                        received_at = self.last_received();
-                        continue;
-                    }
-                    if bytes.is_empty() {
-                        return Ok(());
-                    }
-                }
-                ConnectionState::Rejecting if is_drained => {
-                    self.state.set(ConnectionState::Closing);
-                    if self.read(&mut bytes)? {
-                        received_at = self.last_received();
-                        continue;
-                    }
-                    return Ok(());
-                }
-                ConnectionState::Closing if is_drained => return Ok(()),
-                _ => {}
-            }
-            let can_read = has_room
-                && (state == ConnectionState::Open || (state == ConnectionState::Stopping && is_drained));
-            let has_unwritten = !self.answers.borrow().unwritten().is_empty();
-            tokio::select! {
-                connected = self.readable(), if can_read => {
-                    if !connected {
-                        return Err(());
-                    }
-                    if self.read(&mut bytes)? {
-                        received_at = self.last_received();
-                    }
-                }
-                () = self.disconnected(), if !can_read => return Err(()),
-                _ = self.stream.writable(), if has_unwritten => self.flush(),
-                () = self.wake.notified() => {}
-            }
-        }
-    }
-
-    /// Closes the sending side, so that the client can read the last answer before the end of file. What
-    /// arrives after that is read and dropped.
-    async fn close_gracefully(&self) {
-        if self.state.get() == ConnectionState::Closed
-            || SockRef::from(&self.stream).shutdown(Shutdown::Write).is_err()
-        {
-            return;
-        }
-        self.state.set(ConnectionState::HalfClosed);
-        self.expected.set((ExpectedCommand::Next, Instant::now()));
-        self.slot_freed.notify_one();
-        let drain = async {
-            let mut discarded = [0u8; 4096];
-            while self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut discarded) {
-                    Ok(0) => return,
-                    Ok(_) => {}
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                    Err(_) => return,
-                }
-            }
-        };
-        let until_closed = async {
-            while self.state.get() != ConnectionState::Closed {
-                self.wake.notified().await;
-            }
-        };
-        let _ = timeout(LINGER_TIMEOUT, async {
-            tokio::select! {
-                () = drain => {}
-                () = until_closed => {}
-            }
-        })
-        .await;
-    }
 }
--- a/src/bin/frostvale/client/commands.rs
+++ b/src/bin/frostvale/client/commands.rs
@@ -3,32 +3,37 @@
 
 use super::{Client, ConnectionState, ExpectedCommand, RETAINED_BUFFER_BYTES};
 use crate::client_request::ClientRequest;
+use crate::fair_share::Slice;
 use crate::gatekeeper::Shared;
 use crate::resp::{self, Command, ProtocolError};
 use std::rc::Rc;
 use std::time::Instant;
 
 impl Client {
-    /// Starts every complete command in `bytes` as far as the pipeline has room, and returns whether there
-    /// was one. `received_at` is when the last of the bytes arrived: the client's deadline runs while its
-    /// command waits here.
+    /// Starts the complete commands in `bytes` as far as the pipeline has room and the slice allows. Returns
+    /// whether the rest of `bytes` is no complete command. `received_at` is when the last of the bytes
+    /// arrived: the client's deadline runs while its command waits here.
     pub(super) fn start_commands(
         self: &Rc<Client>,
         gatekeeper: &Shared,
         bytes: &mut Vec<u8>,
         received_at: Instant,
+        slice: &Slice,
     ) -> Result<bool, ProtocolError> {
         let mut at = 0;
         let result = loop {
             if !self.answers.borrow().has_room() {
-                break Ok(());
+                break Ok(false);
             }
             match resp::command(&bytes[at..]) {
                 Ok(Some(command)) => {
                     self.start_command(gatekeeper, &bytes[at..], &command, received_at);
                     at += command.len;
+                    if !slice.record_item() {
+                        break Ok(false);
+                    }
                 }
-                Ok(None) => break Ok(()),
+                Ok(None) => break Ok(true),
                 Err(error) => break Err(error),
             }
         };
@@ -40,7 +45,7 @@
         if at > 0 {
             self.expected.set((ExpectedCommand::Next, Instant::now()));
         }
-        result.map(|()| at > 0)
+        result
     }
 
     /// Whether a command is being discarded.
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -3,6 +3,7 @@
 
 use crate::budget::MemoryBudget;
 use crate::client::{Client, ConnectionState};
+use crate::fair_share::{FairShare, Source};
 use crate::gatekeeper::Shared;
 use crate::receive_time::ReceiveTimes;
 use crate::run_queue::RunQueue;
@@ -44,6 +45,9 @@
     reading: MemoryBudget,
     unread: MemoryBudget,
     receive_times: Rc<ReceiveTimes>,
+    fair_share: Rc<FairShare>,
+    /// The listener's queue, as a source of work.
+    accepting: Source,
 }
 
 impl Clients {
@@ -54,6 +58,8 @@
         let (reading, unread) = (MemoryBudget::new(memory), MemoryBudget::new(memory));
         let initial_state = Cell::new(ConnectionState::Open);
         let (slot_freed, receive_times) = (Rc::default(), Rc::new(ReceiveTimes::open(run_queue)));
+        let fair_share = FairShare::new();
+        let accepting = fair_share.add_source();
         Rc::new(Clients {
             all: RefCell::default(),
             max_clients,
@@ -62,6 +68,8 @@
             reading,
             unread,
             receive_times,
+            fair_share,
+            accepting,
         })
     }
 
@@ -99,10 +107,13 @@
     /// one of them.
     fn trim_lingering(&self, limit: usize) {
         let all = self.all.borrow();
-        let mut lingering: Vec<_> =
-            all.values().filter(|c| c.state() == ConnectionState::HalfClosed).collect();
+        let is_lingering = |c: &&Rc<Client>| c.state() == ConnectionState::HalfClosed;
+        let excess = all.values().filter(is_lingering).count().saturating_sub(limit);
+        if excess == 0 {
+            return;
+        }
+        let mut lingering: Vec<_> = all.values().filter(is_lingering).collect();
         lingering.sort_by_key(|c| c.last_used());
-        let excess = lingering.len().saturating_sub(limit);
         lingering.into_iter().take(excess).for_each(|c| c.advance_to(ConnectionState::Closed));
     }
 
@@ -135,7 +146,9 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     has_warned = false;
+                    let started_at = Instant::now();
                     self.admit(stream, &gatekeeper);
+                    self.accepting.pay(started_at.elapsed()).await;
                 }
                 // Most likely the descriptors have run out: makes room, and does not spin while there is
                 // none.
@@ -182,6 +195,7 @@
             self.unread.new_share(),
             self.slot_freed.clone(),
             self.receive_times.clone(),
+            self.fair_share.add_source(),
         ));
         client.advance_to(self.initial_state.get());
         let number = gatekeeper.borrow_mut().next_id();
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -12,6 +12,7 @@
 mod endpoint_update;
 mod epoch_fences;
 mod event_loop;
+mod fair_share;
 mod gatekeeper;
 mod link;
 mod local_settings;
--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -200,6 +200,13 @@
         sockets::wait_for_socket(own, peer, |socket| socket.is_none_or(SocketInfo::has_all_acknowledged));
     }
 
+    /// Waits until the remote process has read all that was sent.
+    pub fn wait_until_read(&self) {
+        self.wait_until_acknowledged();
+        let (own, peer) = self.addresses();
+        sockets::wait_for_socket(peer, own, |socket| socket.is_none_or(SocketInfo::has_all_read));
+    }
+
     /// Waits until the remote process has accepted this connection from its listener's queue.
     pub fn wait_until_accepted(&self) {
         let (own, peer) = self.addresses();
--- a/tests/node/pipelines.rs
+++ b/tests/node/pipelines.rs
@@ -170,12 +170,17 @@
     worker.serve_all("served");
     let incomplete = [&b"*2\r\n$4\r\nPING\r\n$65000\r\n"[..], &[b'x'; 60_000]].concat();
     let mut others: Vec<TestConnection> = (0..150).map(|_| node.client()).collect();
-    others.iter_mut().for_each(|other| other.send(&incomplete));
+    // One after another: those that arrive together may be refused together and leave memory free.
+    for other in &mut others {
+        other.send(&incomplete);
+        other.wait_until_read();
+    }
     node.wait_until_input_is_processed();
     let mut client = node.client();
     let long = resp_command(&["PING", &long_value(1)]);
     let (head, rest) = long.split_at(long.len() / 2);
     client.send(head);
+    client.wait_until_read();
     node.wait_until_input_is_processed();
     client.send([rest, &resp_command(&["PING"]), &read_request(5000), &resp_command(&["PING"])].concat());
     assert_eq!(client.read_answer(), "-BUSY");
--- a/tests/node/sockets.rs
+++ b/tests/node/sockets.rs
@@ -22,6 +22,8 @@
     state: u8,
     /// Bytes sent and not acknowledged yet.
     unacknowledged_bytes: u32,
+    /// Bytes received that the process has not read.
+    unread_bytes: u32,
     /// 0 until a process has accepted the connection.
     inode: u32,
     remote: SocketAddr,
@@ -34,6 +36,11 @@
         acknowledged && self.unacknowledged_bytes == 0
     }
 
+    /// Whether the process has read all that was received.
+    pub fn has_all_read(&self) -> bool {
+        self.unread_bytes == 0
+    }
+
     pub fn is_accepted(&self) -> bool {
         self.inode != 0
     }
@@ -76,6 +83,7 @@
                     sockets.push(SocketInfo {
                         state: response.header.state,
                         unacknowledged_bytes: response.header.send_queue,
+                        unread_bytes: response.header.recv_queue,
                         inode: response.header.inode,
                         remote: SocketAddr::new(id.destination_address, id.destination_port),
                     });
