A connection on which a request has arrived is not closed as idle

Cause: before an idle connection is closed, Client::read asked the runtime for bytes that may have arrived. tokio answers from its own record of readiness, which is as old as its last look at the kernel. When the time limit passed in one turn and the connection's task ran late in it, behind long work for other connections, what had arrived meanwhile was not seen: the sending side was closed, and the request was read and dropped. A stopping gatekeeper closed connections likewise. Class of bug: a decision that needs the kernel's state, taken from an older copy of it.

Change: before a connection is closed the socket itself is read (Client::read_before_closing), as was done already for resting connections to workers (Conn::is_stale).

--- a/src/bin/frostvale/client/serving.rs
+++ b/src/bin/frostvale/client/serving.rs
@@ -6,7 +6,7 @@
 use crate::gatekeeper::Shared;
 use crate::resp::{CommandSkipper, ProtocolError};
 use socket2::SockRef;
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read};
 use std::net::Shutdown;
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
-/// Size of one read of bytes that are dropped.
+/// Size of one read of bytes that are dropped or that the runtime has not announced.
 const CHUNK_BYTES: usize = 4096;
 
 /// What was read and not started yet.
@@ -69,14 +69,14 @@
             let (is_drained, state) = (self.is_drained(), self.state.get());
             match state {
                 ConnectionState::ClosingIdle if is_drained => {
-                    if !self.read(&mut input)? {
+                    if !self.read_before_closing(&mut input)? {
                         return Ok(());
                     }
                     self.state.set(ConnectionState::Open);
                     continue;
                 }
                 ConnectionState::Stopping if is_drained => {
-                    if self.read(&mut input)? {
+                    if self.read_before_closing(&mut input)? {
                         continue;
                     }
                     if input.bytes.is_empty() {
@@ -85,7 +85,7 @@
                 }
                 ConnectionState::Rejecting if is_drained => {
                     self.state.set(ConnectionState::Closing);
-                    if !self.read(&mut input)? {
+                    if !self.read_before_closing(&mut input)? {
                         return Ok(());
                     }
                     continue;
@@ -194,13 +194,37 @@
         self.is_skipping()
     }
 
-    /// Reads what has arrived, up to a bound. Returns whether there was anything.
-    fn read(&self, input: &mut Input) -> Result<bool, Disconnected> {
+    /// Reads what has arrived, up to a bound, as far as the runtime knows of it.
+    fn read(&self, input: &mut Input) -> Result<(), Disconnected> {
+        self.read_from(input, |bytes| {
+            bytes.reserve(2048);
+            self.stream.try_read_buf(bytes)
+        })?;
+        Ok(())
+    }
+
+    /// Reads what has arrived on a connection that is about to be closed, up to a bound. Returns whether there
+    /// was anything. The kernel is asked, as the runtime may not know yet of what arrived since it last waited
+    /// for events: closing the connection then would lose a request that had arrived long before.
+    fn read_before_closing(&self, input: &mut Input) -> Result<bool, Disconnected> {
+        let mut chunk = [0; CHUNK_BYTES];
+        self.read_from(input, |bytes| {
+            let count = (&*SockRef::from(&self.stream)).read(&mut chunk)?;
+            bytes.extend_from_slice(&chunk[..count]);
+            Ok(count)
+        })
+    }
+
+    /// Reads by `read_some` until nothing is left or the bound is reached. Returns whether anything was read.
+    fn read_from(
+        &self,
+        input: &mut Input,
+        mut read_some: impl FnMut(&mut Vec<u8>) -> std::io::Result<usize>,
+    ) -> Result<bool, Disconnected> {
         let before = input.bytes.len();
         input.was_read_in_part = false;
         loop {
-            input.bytes.reserve(2048);
-            match self.stream.try_read_buf(&mut input.bytes) {
+            match read_some(&mut input.bytes) {
                 Ok(0) => return Err(Disconnected),
                 Ok(_) if input.bytes.len() < RETAINED_BUFFER_BYTES => {}
                 Ok(_) => {
@@ -208,6 +232,7 @@
                     break;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(Disconnected),
             }
         }
--- a/tests/node/floods.rs
+++ b/tests/node/floods.rs
@@ -2,8 +2,9 @@
 
 use crate::flood_clients::*;
 use crate::harness::*;
+use std::io::Write;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long each flood lasts.
 const FLOOD_TIME: Duration = Duration::from_secs(2);
@@ -73,3 +74,59 @@
         }
     }
 }
+
+/// Number of idle connections: more than half of the table, so that they are closed after 2 s.
+const IDLE_CONNECTIONS: usize = 14;
+/// Descriptors of a gatekeeper whose table has room for 21 clients.
+const FEW_DESCRIPTORS: u32 = 64;
+/// A connection that ends later than this after a request had reached the gatekeeper's machine was not closed
+/// at the moment in which the request was on its way.
+const CROSSING_TIME: Duration = Duration::from_millis(20);
+
+/// Idle time before the flood, which lasts beyond the idle limit of 2 s.
+const TIME_BEFORE_FLOOD: Duration = Duration::from_millis(1800);
+const SHORT_FLOOD: Duration = Duration::from_millis(700);
+const IDLE_ROUNDS: usize = 3;
+
+/// Sends a request after a pause. Returns whether the connection was closed although the request had arrived.
+fn is_request_lost_after_pause(mut client: TestConnection, pause: Duration) -> bool {
+    thread::sleep(pause);
+    if client.read.get_mut().write_all(&read_request(400)).is_err() {
+        return false;
+    }
+    let sent_at = Instant::now();
+    client.read_answer_or_end().is_none() && sent_at.elapsed() > CROSSING_TIME
+}
+
+#[test]
+fn connection_is_not_closed_as_idle_when_a_request_on_it_has_arrived() {
+    let worker = TestListener::bind();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    worker.serve_all("served");
+    let node = Setup { sockets: FEW_DESCRIPTORS, ..Setup::new(discovery.at) }.start();
+    for round in 0..IDLE_ROUNDS {
+        let mut clients: Vec<_> = (0..IDLE_CONNECTIONS).map(|_| node.client()).collect();
+        for client in &mut clients {
+            client.send(resp_command(&["PING"]));
+            assert_eq!(client.read_answer(), "+PONG");
+        }
+        thread::sleep(TIME_BEFORE_FLOOD);
+        let at = node.at;
+        let lost: usize = thread::scope(|scope| {
+            scope.spawn(move || {
+                let _flooders = Flooders::start(at, Flood::NewNames, 3);
+                thread::sleep(SHORT_FLOOD);
+            });
+            let requests: Vec<_> = clients
+                .into_iter()
+                .zip(0..)
+                .map(|(client, number)| {
+                    let pause = Duration::from_millis(100 + 40 * number);
+                    scope.spawn(move || is_request_lost_after_pause(client, pause))
+                })
+                .collect();
+            requests.into_iter().map(|request| usize::from(request.join().expect("sent"))).sum()
+        });
+        assert_eq!(lost, 0, "round {round}");
+    }
+}
