Tests: ids that come again, and commands of clients that have left

Change: tests/node/request_ids.rs. An unsafe or keyed request that was served, failed or reset, or whose client left, and a read whose client left: its id comes again. One that was turned away by the server may come again. A client that sends 3,000 commands at once and leaves: no attempt may begin more than 0.1 s later. The harness gives each write a new id, as the protocol asks of clients.

--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -79,6 +79,26 @@
         served
     }
 
+    /// Answers all further commands; returns the times at which they came.
+    pub fn serve_all_with_times(self) -> Arc<Mutex<Vec<Instant>>> {
+        let times = Arc::new(Mutex::new(Vec::new()));
+        let record = times.clone();
+        thread::spawn(move || {
+            while let Ok(stream) = self.connections.recv() {
+                let record = record.clone();
+                thread::spawn(move || {
+                    let mut conn = TestConnection::new(stream);
+                    while conn.read.get_mut().peek(&mut [0; 1]).is_ok_and(|n| n > 0) {
+                        conn.read_command();
+                        record.lock().expect("an unpoisoned lock").push(Instant::now());
+                        conn.send_value("served");
+                    }
+                });
+            }
+        });
+        times
+    }
+
     /// Whether no connection waits to be accepted. Does not block.
     pub fn has_no_connection(&self) -> bool {
         self.connections.try_recv().is_err()
@@ -286,10 +306,15 @@
     out.into_bytes()
 }
 
+/// A request id that was not used before.
+pub fn new_request_id() -> String {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A read request with a new id.
 pub fn read_request(wait_ms: u32) -> Vec<u8> {
-    static COUNT: AtomicU32 = AtomicU32::new(0);
-    read_request_with_id(&format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed)), wait_ms)
+    read_request_with_id(&new_request_id(), wait_ms)
 }
 
 pub fn read_request_with_id(id: &str, wait_ms: u32) -> Vec<u8> {
@@ -297,10 +322,14 @@
     resp_command(&["Q.ASK", "00000000b4d65521", id, &fields])
 }
 
-/// A keyed command that may change data, with `REQUEST_ID`.
+/// A keyed command that may change data, with a new id.
 pub fn write_request(class: &str, wait_ms: u32) -> Vec<u8> {
+    write_request_with_id(&new_request_id(), class, wait_ms)
+}
+
+pub fn write_request_with_id(id: &str, class: &str, wait_ms: u32) -> Vec<u8> {
     let fields = format!("c={class},t=p,d={wait_ms},k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0");
-    resp_command(&["Q.DO", "00000000b4d65521", REQUEST_ID, &fields, "BODY"])
+    resp_command(&["Q.DO", "00000000b4d65521", id, &fields, "BODY"])
 }
 
 /// An entry of an endpoint list.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod large_updates;
 mod malformed;
 mod pipelines;
+mod request_ids;
 mod settings;
 mod shutdown;
 mod sockets;
@@ -26,7 +27,7 @@
 fn request_is_forwarded_unchanged_except_for_its_remaining_time() {
     let (worker, _discovery, node) = start_with_one_worker();
     let mut client = node.client();
-    client.send(write_request("order", 3000));
+    client.send(write_request_with_id(REQUEST_ID, "order", 3000));
     let mut conn = worker.accept();
     let command = conn.read_command();
     assert_eq!(command.len(), 5);
