The id of a request that may have run is not run again when it comes again

Cause: an id was known only while its request or an attempt of it was open (open_client_ids). When the attempt of a client that had left was over, or a request had been served, failed or reset, nothing was left of it, and the same id was taken for a new request. Class of bug: state that decides whether work may run is dropped with the work.

Change: gatekeeper/used_ids.rs keeps the ids of finished requests of which an attempt may have run: all of those that must not run twice, and repeatable ones whose client had left before its answer. A full set never drops an id of a request that must not run twice; further such requests are refused with -BUSY then, before anything of them has run. A request under a kept id is answered -ERR. An id whose attempts surely never ran may come again. AttemptOutcome::may_have_run names the rule once for the module and the host.

A read that was served may still be repeated under its id, as a test of the project asks.

--- a/src/api.rs
+++ b/src/api.rs
@@ -257,6 +257,14 @@
     Moot,
 }
 
+impl AttemptOutcome {
+    /// Whether the request may have run in this attempt, or may yet run.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, AttemptOutcome::Full | AttemptOutcome::Unreachable | AttemptOutcome::Moot)
+    }
+}
+
 /// A server's report of its load; values that it does not report are absent.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct LoadReport {
--- a/src/bin/frostvale/client/commands.rs
+++ b/src/bin/frostvale/client/commands.rs
@@ -87,7 +87,7 @@
                 ClientRequest::parse(
                     &gatekeeper.conf,
                     &gatekeeper.settings,
-                    |wire| gatekeeper.is_open(wire),
+                    |client_id| gatekeeper.check_new_id(client_id),
                     bytes,
                     command,
                 )
@@ -96,7 +96,7 @@
                 Ok(mut request) => {
                     request.wait_ms -= received_at.elapsed().as_secs_f64() * 1000.0;
                     let mut gatekeeper = gatekeeper.borrow_mut();
-                    if !gatekeeper.has_room(request.command.len()) {
+                    if !gatekeeper.has_room(&request) {
                         return self.respond(b"-BUSY\r\n");
                     }
                     let id = gatekeeper.next_id();
--- a/src/bin/frostvale/client_request.rs
+++ b/src/bin/frostvale/client_request.rs
@@ -56,12 +56,12 @@
         out.extend_from_slice(&self.command[self.deadline.end..]);
     }
 
-    /// Parses a request. The error text names the invalid or missing field. `is_open` says whether the client
-    /// already has a request with an id.
+    /// Parses a request. The error text names the invalid or missing field. `check_new_id` says whether an id
+    /// may be used.
     pub fn parse(
         conf: &RawSettings,
         settings: &Settings,
-        is_open: impl Fn(u64) -> bool,
+        check_new_id: impl Fn(u64) -> Result<(), &'static str>,
         bytes: &[u8],
         command: &Command,
     ) -> Result<ClientRequest, &'static str> {
@@ -74,9 +74,7 @@
         }
         let (customer, _) = hex(1).filter(|(_, number)| *number < MAX_CUSTOMERS).ok_or("bad customer")?;
         let (_, client_id) = hex(2).ok_or("bad id")?;
-        if is_open(client_id) {
-            return Err("this id is open already");
-        }
+        check_new_id(client_id)?;
         let fields = command.range(3);
         let text = std::str::from_utf8(&bytes[fields.clone()]).map_err(|_| "bad fields")?;
         let (mut class, mut plan, mut deadline) = (None, None, None);
--- a/src/bin/frostvale/gatekeeper.rs
+++ b/src/bin/frostvale/gatekeeper.rs
@@ -12,6 +12,7 @@
 mod record;
 mod starting;
 mod trace;
+mod used_ids;
 mod zones;
 
 use crate::client_request::ClientRequest;
@@ -36,6 +37,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep_until, timeout};
+use used_ids::UsedIds;
 
 /// Shared handle to the gatekeeper. Each task borrows it only for the duration of one call.
 pub type Shared = Rc<RefCell<Gatekeeper>>;
@@ -77,6 +79,9 @@
 /// number of timers that were still pending, but not below this length.
 const MIN_TIMER_COMPACTION_LEN: usize = 1024;
 
+/// The memory for each kind of buffer divided by this is what the ids of finished requests may take.
+const USED_IDS_SHARE_DIVISOR: usize = 2;
+
 /// What happens when a timer expires.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum TimerKind {
@@ -110,6 +115,7 @@
     max_held_bytes: usize,
     /// The ids that clients gave to the requests in flight.
     open_client_ids: HashSet<u64>,
+    used_ids: UsedIds,
     workers: Workers,
     /// Requests and answers held until the gatekeeper serves; `None` from then on.
     startup_queue: Option<starting::StartupQueue>,
@@ -167,6 +173,7 @@
                 held_bytes: 0,
                 max_held_bytes: memory_bytes,
                 open_client_ids: HashSet::new(),
+                used_ids: UsedIds::new(memory_bytes / USED_IDS_SHARE_DIVISOR),
                 workers: Workers::new(connections, memory_bytes),
                 startup_queue: Some(starting::StartupQueue::default()),
                 update_lock: Rc::default(),
@@ -219,16 +226,33 @@
         self.last_id
     }
 
-    /// Whether a request with this client-chosen id is in flight or still has an attempt outstanding. A
-    /// worker would take a second one for a duplicate of the first.
-    pub fn is_open(&self, client_id: u64) -> bool {
-        self.open_client_ids.contains(&client_id)
+    /// Whether a client may use this id for a new request.
+    ///
+    /// # Errors
+    /// Why not: a request with this id is in flight or still has an attempt outstanding, so that a worker
+    /// would take a second one for a duplicate; or such a request may have run.
+    pub fn check_new_id(&self, client_id: u64) -> Result<(), &'static str> {
+        if self.open_client_ids.contains(&client_id) {
+            return Err("this id is open already");
+        }
+        if self.used_ids.contains(client_id) {
+            return Err("this id was used already");
+        }
+        Ok(())
     }
 
-    /// Whether one more request of this size can be held. Requests beyond the settings' `max_open` or the
-    /// memory limit are rejected without being processed.
-    pub fn has_room(&self, bytes: usize) -> bool {
-        self.requests.len() < self.conf.bounds.max_open && self.held_bytes + bytes <= self.max_held_bytes
+    /// Whether one more request can be held. Requests beyond the settings' `max_open` or the memory limits are
+    /// rejected without being processed.
+    pub fn has_room(&mut self, request: &ClientRequest) -> bool {
+        let now = self.now();
+        self.requests.len() < self.conf.bounds.max_open
+            && self.held_bytes + request.command.len() <= self.max_held_bytes
+            && (self.is_repeatable(request.class) || self.used_ids.has_room(now))
+    }
+
+    /// Whether requests of a class may run twice.
+    fn is_repeatable(&self, class: usize) -> bool {
+        self.conf.classes.get(class).is_some_and(|class| class.effect == RawEffect::Repeatable)
     }
 
     /// Accepts a completely received request and starts processing it, or holds it until the gatekeeper
@@ -262,6 +286,8 @@
                 attempts: 0,
                 attempt: None,
                 is_sent: false,
+                may_have_run: false,
+                has_client_left: false,
             },
         );
         self.schedule(deadline + ANSWER_GRACE_MS, TimerKind::AnswerDeadline(id));
@@ -307,6 +333,7 @@
         if r.client.take().is_none() {
             return;
         }
+        r.has_client_left = true;
         if r.pending.take().is_some() {
             return self.remove_if_finished(id);
         }
@@ -460,6 +487,10 @@
         {
             self.held_bytes -= r.client_request.command.len();
             self.open_client_ids.remove(&r.client_request.client_id);
+            let is_repeatable = self.is_repeatable(r.client_request.class);
+            if r.may_have_run && (r.has_client_left || !is_repeatable) {
+                self.used_ids.insert(self.now(), r.client_request.client_id, is_repeatable);
+            }
         }
     }
 
@@ -632,6 +663,7 @@
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = r.attempt.take() else { return };
+        r.may_have_run |= outcome.may_have_run();
         trace::attempt_ended(r.client_request.client_id, &attempt, outcome, now);
         let result = AttemptResult {
             id,
--- a/src/bin/frostvale/gatekeeper/in_flight.rs
+++ b/src/bin/frostvale/gatekeeper/in_flight.rs
@@ -47,6 +47,10 @@
     pub(super) attempt: Option<Attempt>,
     /// Whether the complete command has been written to a worker: from then on its units count as used.
     pub(super) is_sent: bool,
+    /// Whether an attempt that has ended may have run.
+    pub(super) may_have_run: bool,
+    /// Whether the client disconnected before its answer.
+    pub(super) has_client_left: bool,
 }
 
 /// An outstanding attempt; a request has at most one. Times are in ms of the clock.
--- a/src/control.rs
+++ b/src/control.rs
@@ -909,17 +909,13 @@
             _ => Some(false),
         };
         self.failure_gossip.attempt_ended(self.now, result.id, &result.server, succeeded);
-        let reached_server = !matches!(
-            result.outcome,
-            AttemptOutcome::Full | AttemptOutcome::Unreachable | AttemptOutcome::Moot
-        );
         if let Some(s) = self.servers.get_mut(&result.server)
             && s.in_flight.contains_key(&result.id)
         {
             s.update_mean(self.now);
             s.in_flight.remove(&result.id);
             self.fleet.in_flight = self.fleet.in_flight.saturating_sub(1);
-            if reached_server && h.may_have_run.is_none() {
+            if result.outcome.may_have_run() && h.may_have_run.is_none() {
                 h.may_have_run = Some((h.sent_to.0, h.sent_to.1, h.sent_at));
             }
             // With few gatekeepers each sends a good part of the load, and its own request count says more
