Test: memory beside clients that name ever new customers

Change: tests/node/memory.rs floods a gatekeeper of 32 MB for 12 s with requests that each name a new customer, and measures the process's peak and what other clients get.

--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -590,6 +590,14 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// The largest amount of memory that the process has had so far, in KiB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("a running process");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        peak.trim_end_matches("kB").trim().parse().expect("a number")
+    }
+
     /// Stops the process with SIGSTOP; the kernel still receives what is sent to it.
     pub fn freeze(&self) {
         self.signal("-STOP");
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod large_updates;
 mod malformed;
+mod memory;
 mod pipelines;
 mod request_ids;
 mod settings;
