The number of customers is bounded by memory; none with used tokens is forgotten

Cause: Control kept each customer for 60 s after its last request, whatever their number: 16 MB a second, 243 MB of a limit of 32 MB after 12 s. Class of bug: state per name that the sender chooses, bounded by time alone.

Change: control/customers.rs. The host sets a maximum, an eighth of the memory limit divided by what one customer takes. In a full table a further customer takes the place of idle ones whose buckets are full again, so that no quota and no ceiling is filled by forgetting one; a chunk of 256 is checked for each such request. Without one the request is refused (TooManyCustomers). Known customers are served as before. Messages of peers and restored levels of further customers are dropped, as if they had been lost.

--- a/src/api.rs
+++ b/src/api.rs
@@ -381,6 +381,8 @@
     Quota,
     /// The owner of the customer's quota did not answer in time.
     OwnerSilent,
+    /// There is no room for a further customer.
+    TooManyCustomers,
     /// All of the customer's concurrency permits are taken.
     NoPermit,
     /// The zone routing decision leaves no capacity for requests of this worth.
--- a/src/bin/frostvale/gatekeeper.rs
+++ b/src/bin/frostvale/gatekeeper.rs
@@ -159,8 +159,9 @@
     /// # Errors
     /// When the settings are invalid.
     pub fn new(config: Config, peers: Option<Peers>, connections: usize) -> Result<Shared, SettingsError> {
-        let control = Control::new(config.settings.clone(), config.seed)?;
+        let mut control = Control::new(config.settings.clone(), config.seed)?;
         let memory_bytes = config.memory_budget();
+        control.set_max_customers(memory_bytes / Control::CUSTOMER_BYTES);
         let gatekeeper = Rc::new_cyclic(|weak_self| {
             RefCell::new(Gatekeeper {
                 weak_self: weak_self.clone(),
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 //! (requests + 1)), counted per priority tier over a sliding window.
 
 mod checks;
+mod customers;
 mod endpoints;
 mod restore;
 mod server_choice;
@@ -101,6 +102,7 @@
     /// When this incarnation received its first event.
     started_at: Option<f64>,
     customers: ExpiringMap<Customer>,
+    max_customers: usize,
     outbox: Outbox,
     servers: ServerIndex,
     slow_start: SlowStartServers,
@@ -146,6 +148,7 @@
             now: 0.0,
             started_at: None,
             customers: ExpiringMap::default(),
+            max_customers: usize::MAX,
             servers: ServerIndex::default(),
             slow_start: SlowStartServers::default(),
             departed: Vec::new(),
@@ -241,6 +244,9 @@
             self.retry_budget = (self.retry_budget + RETRY_BUDGET_PER_REQUEST).min(MAX_RETRY_BUDGET);
         }
         let key = customer_key(&request.customer);
+        if !self.has_room_for_customer(key) {
+            return self.refuse(&request, is_check, RefusalReason::TooManyCustomers);
+        }
         let plan = self.cfg.plans[request.plan].clone();
         let spread = if request.spread == 0 { gatekeepers } else { request.spread.min(gatekeepers) };
         let quota_owner = self.quota_owner_of(key, &request);
@@ -1081,6 +1087,10 @@
             return self.failure_gossip.receive(now, from, text);
         }
         for (key, item) in text.split(';').filter_map(|t| PeerMessageItem::decode(t, from, now)) {
+            let creates_customer = !matches!(item, PeerMessageItem::Reply { .. });
+            if creates_customer && !self.has_room_for_customer(key) {
+                continue;
+            }
             match item {
                 PeerMessageItem::Request { plan, quota_request, weight } if plan < self.cfg.plans.len() => {
                     let recorded = self.quota_requests.recorded_reply(now, (key, from, quota_request.number));
--- a/src/control/restore.rs
+++ b/src/control/restore.rs
@@ -20,6 +20,9 @@
     pub(super) fn on_restore(&mut self, snapshots: &[BucketSnapshot]) {
         let (plan_count, now) = (self.cfg.plans.len(), self.now);
         for snapshot in snapshots.iter().filter(|snapshot| snapshot.plan < plan_count) {
+            if !self.has_room_for_customer(snapshot.key) {
+                continue;
+            }
             let was_known = self.customers.contains_key(&snapshot.key);
             self.customer_entry(snapshot.key, snapshot.plan);
             // The tokens refilled since the start are already part of the snapshot.
--- a/src/expiring_map.rs
+++ b/src/expiring_map.rs
@@ -38,7 +38,6 @@
 }
 
 impl<T: Default> ExpiringMap<T> {
-    #[cfg(test)]
     pub fn len(&self) -> usize {
         self.index.len()
     }
@@ -88,6 +87,11 @@
         {
             return;
         }
+        self.evict_next_chunk(now, should_keep);
+    }
+
+    /// Visits the next chunk and evicts its entries for which `should_keep` is false.
+    pub fn evict_next_chunk(&mut self, now: f64, should_keep: impl Fn(&T) -> bool) {
         self.evicted_at = now;
         self.next_chunk = if self.next_chunk < self.chunks.len() { self.next_chunk } else { 0 };
         let Some(chunk) = self.chunks.get_mut(self.next_chunk) else { return };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -689,6 +689,33 @@
     assert!(is_refused(&actions) || after.expect("a timer") <= 30.0);
 }
 
+/// A request of one unit under plan 1, whose bucket holds 4 units and fills up in 2 s.
+fn request_of_customer(id: u64, customer: &str, now: f64) -> Event {
+    let Event::Request(request) = request_event(id, 0, 1, now) else { unreachable!("it makes a request") };
+    Event::Request(Request { customer: customer.into(), ..request })
+}
+
+#[test]
+fn full_table_of_customers_refuses_further_ones_and_forgets_none_with_used_tokens() {
+    let mut gatekeeper = new_gatekeeper(settings());
+    gatekeeper.set_max_customers(2);
+    let mut is_sent = |id, customer: &str, now| {
+        let server = chosen_server(&gatekeeper.handle(now, request_of_customer(id, customer, now)));
+        if let Some(server) = &server {
+            gatekeeper.handle(now + 1.0, attempt_ended(id, server, AttemptOutcome::Ok, 1.0));
+        }
+        server.is_some()
+    };
+    assert!((0..4).all(|id| is_sent(id, "acme", 10.0)), "its bucket holds 4 units");
+    assert!(is_sent(4, "first", 10.0));
+    assert!(!is_sent(5, "second", 20.0), "no room");
+    assert!(!is_sent(6, "acme", 30.0), "its bucket is empty and not forgotten");
+    assert!(is_sent(7, "first", 40.0), "a known customer is served from a full table");
+    assert!(!is_sent(8, "second", 1900.0), "the buckets are not full again yet");
+    assert!(is_sent(9, "second", 2500.0), "an idle customer with a full bucket gives way");
+    assert!((10..13).all(|id| is_sent(id, "acme", 2600.0)), "its tokens have refilled meanwhile");
+}
+
 #[test]
 fn throttle_passes_all_while_nothing_fails_and_minimum_rate_when_everything_fails() {
     let mut gatekeeper = new_gatekeeper(settings());
