--- a/tests/node/floods.rs
+++ b/tests/node/floods.rs
@@ -2,9 +2,12 @@
 
 use crate::flood_clients::*;
 use crate::harness::*;
+use frostvale_standin::formula_server::{FormulaServer, ServerOptions};
 use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr};
 use std::thread;
 use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
 
 /// How long each flood lasts.
 const FLOOD_TIME: Duration = Duration::from_secs(2);
@@ -35,6 +38,31 @@
     assert!(served_share >= MIN_SERVED_SHARE, "{what}: {service}");
 }
 
+/// Servers that can serve several times as much as the other clients ask for, and far less than a flood.
+struct LimitedServers {
+    servers: Vec<FormulaServer>,
+    _runtime: Runtime,
+}
+
+impl LimitedServers {
+    fn start(count: usize) -> LimitedServers {
+        let runtime = Runtime::new().expect("a runtime");
+        let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let start = |number| {
+            let uid = format!("s-{number}");
+            let options = ServerOptions::default();
+            let server = FormulaServer::start(&uid, ip, options, Default::default(), false);
+            runtime.block_on(server).expect("a free port")
+        };
+        let servers = (0..count).map(start).collect();
+        LimitedServers { servers, _runtime: runtime }
+    }
+
+    fn targets(&self) -> Vec<String> {
+        self.servers.iter().map(|server| target(&server.uid, server.at, "ready", 0)).collect()
+    }
+}
+
 /// The first core that this process may use.
 fn first_core() -> String {
     let status = std::fs::read_to_string("/proc/self/status").expect("a running process");
@@ -130,3 +158,18 @@
         assert_eq!(lost, 0, "round {round}");
     }
 }
+
+#[test]
+fn other_clients_are_served_when_a_flood_of_requests_exceeds_what_servers_can_do() {
+    for flood in [Flood::NewNames, Flood::OneName] {
+        let servers = LimitedServers::start(3);
+        let discovery = Discovery::with(list(1, true, &servers.targets()));
+        let setup = Setup::new(discovery.at);
+        let config = setup.config().replace("\"Target\":60000.0", "\"Target\":400.0");
+        let node = start(&config, "exec");
+        let flooders = Flooders::start(node.at, flood, FLOODERS);
+        let service = measure_other_clients(node.at, FLOOD_TIME);
+        drop(flooders);
+        assert_served_in_time(&format!("{flood:?}"), &service);
+    }
+}
