Refusals are shared fairly among clients' connections when servers are overloaded

Cause: the throttle (src/control.rs) refused all requests of a tier with one probability, (requests - 2 x accepts) / (requests + 1), whoever sent them: 98 in 100 beside a flood. Those that passed it found the servers filled up to the limit of the expected latency by the flood. Class of bug: a shared limit that is divided by the number of requests.

Change: source_shares.rs counts recent requests by connection (at most 1,024 apart, those without recent requests are dropped) and turns the tier's probability into one for each source: all may pass up to the same level (max-min fairness), so as many requests pass in all as before, and equal sources are refused equally. A request whose source is refused less than others may take servers up to twice the expected latency. Request::source tells the module the connection; the simulator's wire knows none, so with one source the decisions and random draws are as before. The throttle has a module of its own, control/throttle.rs.

--- a/benches/size.rs
+++ b/benches/size.rs
@@ -59,6 +59,7 @@
         spread: 1,
         deadline: now + 1000.0,
         is_retry: false,
+        source: 0,
     };
     let started = Instant::now();
     let actions = g.handle(now, Event::Request(request));
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -773,6 +773,7 @@
             spread: shop.spread,
             deadline: self.now + wait - DEADLINE_MARGIN_MS,
             is_retry: again && self.scenario.load.marked,
+            source: 0,
         };
         self.dispatch_event(k, Event::Request(request));
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -234,6 +234,8 @@
     pub deadline: f64,
     /// Whether the client marked it as a retry.
     pub is_retry: bool,
+    /// The connection that it came on, by a number that the host gives it; 0 if that is not known.
+    pub source: u64,
 }
 
 /// Outcome of an attempt.
--- a/src/bin/frostvale-drill/wire.rs
+++ b/src/bin/frostvale-drill/wire.rs
@@ -295,6 +295,7 @@
                     spread: doors as u32,
                     deadline: give_up_at,
                     is_retry: state_bits & 2 != 0,
+                    source: 0,
                 };
                 (gatekeeper_id, Event::Request(request))
             }
--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -88,6 +88,8 @@
 
 /// A client's connection. The table in `clients` and the task that serves it share it.
 pub struct Client {
+    /// Its number, unique in this process.
+    number: u64,
     stream: TcpStream,
     state: Cell<ConnectionState>,
     answers: RefCell<AnswerQueue>,
@@ -147,12 +149,17 @@
         self.state.get() == ConnectionState::Closed
             || disconnected.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
     }
+
+    fn source(&self) -> u64 {
+        self.number
+    }
 }
 
 impl Client {
     /// Wraps a connection that has just been accepted. `reading` and `unread` are its shares of the memory
     /// budgets of all connections: for bytes of commands and for answers that the socket has not taken.
     pub fn new(
+        number: u64,
         stream: TcpStream,
         reading: MemoryShare,
         unread: MemoryShare,
@@ -164,6 +171,7 @@
         // read.
         let _ = stream.set_nodelay(true);
         Client {
+            number,
             connection_id: ConnectionId::of(&stream),
             stream,
             state: Cell::new(ConnectionState::Open),
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -189,7 +189,9 @@
 
     /// Adds an accepted connection to the table and spawns the task that serves it.
     fn admit(self: &Rc<Self>, stream: TcpStream, gatekeeper: &Shared) {
+        let number = gatekeeper.borrow_mut().next_id();
         let client = Rc::new(Client::new(
+            number,
             stream,
             self.reading.new_share(),
             self.unread.new_share(),
@@ -198,7 +200,6 @@
             self.fair_share.add_source(),
         ));
         client.advance_to(self.initial_state.get());
-        let number = gatekeeper.borrow_mut().next_id();
         self.all.borrow_mut().insert(number, client.clone());
         let (clients, gatekeeper) = (self.clone(), gatekeeper.clone());
         tokio::task::spawn_local(async move {
--- a/src/bin/frostvale/gatekeeper.rs
+++ b/src/bin/frostvale/gatekeeper.rs
@@ -270,6 +270,7 @@
             spread: client_request.spread,
             deadline,
             is_retry: client_request.repeat,
+            source: client.source(),
         };
         self.held_bytes += client_request.command.len();
         self.open_client_ids.insert(client_request.client_id);
--- a/src/bin/frostvale/gatekeeper/interfaces.rs
+++ b/src/bin/frostvale/gatekeeper/interfaces.rs
@@ -9,6 +9,8 @@
     fn answer(&self, id: u64, bytes: &[u8]);
     /// Whether the client has disconnected, even if that has not been reported yet.
     fn is_disconnected(&self) -> bool;
+    /// The number of the client's connection.
+    fn source(&self) -> u64;
 }
 
 /// Receives the decisions on checks.
--- a/src/bin/frostvale/link.rs
+++ b/src/bin/frostvale/link.rs
@@ -458,6 +458,7 @@
             spread: check.spread,
             deadline: 0.0,
             is_retry: false,
+            source: 0,
         })
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod restore;
 mod server_choice;
+mod throttle;
 mod warm_up;
 mod zone_observation;
 
@@ -28,6 +29,7 @@
 use crate::server_index::ServerIndex;
 use crate::server_state::*;
 use crate::slow_start::SlowStartServers;
+use crate::source_shares::SourceShares;
 use crate::state::*;
 use crate::tiers::tiers;
 use crate::zones::ZoneRouting;
@@ -36,12 +38,6 @@
 use server_choice::ServerCriteria;
 use warm_up::WarmUpState;
 
-/// The throttle passes up to this multiple of the accepted requests: when less than one request in this many
-/// succeeds, everything but the minimum rate is refused.
-const THROTTLE_MULTIPLIER: f64 = 2.0;
-/// Minimum rate at which a tier passes the throttle, per second and server, so that recovery is noticed. It
-/// is the sum over all gatekeepers: a minimum for each of them would add up to an overload.
-const MIN_PASSES_PER_SERVER_SECOND: f64 = 0.15;
 /// Maximum expected latency at the chosen server as a share of the class's target, as latencies scatter
 /// widely around it; with many gatekeepers, which can only guess a server's load, 1.5 times as much.
 const LATENCY_LIMIT_SHARE: f64 = 0.19;
@@ -116,6 +112,7 @@
     /// Priority tier by class and plan.
     tier_of: Vec<Vec<usize>>,
     accept_window: AcceptWindow,
+    source_shares: SourceShares,
     zone_routing: ZoneRouting,
     fenced_off: FencedOff,
     /// By tier, when the throttle last let a request through.
@@ -167,6 +164,7 @@
             },
             tier_of,
             accept_window: AcceptWindow::new(tiers, many),
+            source_shares: SourceShares::default(),
             zone_routing: ZoneRouting::new(cfg.zone, tiers),
             fenced_off: FencedOff::default(),
             last_passed_at: vec![f64::NEG_INFINITY; tiers],
@@ -565,7 +563,6 @@
             self.limit_division().is_covered_by_owner(&self.cfg.plans[plan], state.permit.is_some());
         let exceeds_ceiling =
             !is_covered && self.customers.get(&state.key).is_none_or(|c| !c.local_ceiling.has(units));
-        let max_latency_ms = self.latency_limit_share * self.cfg.classes[state.request.class].target_ms;
         let service_time_ms = self.fleet.class_service_time_ms[state.request.class];
         let zones_refuse = self.zone_routing.should_refuse(
             self.now,
@@ -573,12 +570,15 @@
             service_time_ms,
             &mut self.rng,
         );
+        let mut max_latency_ms = self.latency_limit_share * self.cfg.classes[state.request.class].target_ms;
         let refusal = if exceeds_ceiling {
             Some(RefusalReason::Ceiling)
         } else if zones_refuse {
             Some(RefusalReason::ZoneNarrowed)
         } else {
-            self.should_throttle(state.tier).then_some(RefusalReason::Overload)
+            let decision = self.throttle(state.tier, state.request.source);
+            max_latency_ms *= decision.latency_limit_factor;
+            decision.is_refused.then_some(RefusalReason::Overload)
         };
         let chosen = if refusal.is_none() {
             self.choose_server(ServerCriteria {
@@ -827,30 +827,6 @@
         }
     }
 
-    /// Counts a request of a tier as accepted by the servers, or not, for the throttle.
-    fn record_acceptance(&mut self, tier: usize, accepted: bool) {
-        self.accept_window.record(self.now, tier, accepted);
-    }
-
-    /// The probability with which the throttle refuses a request of this tier.
-    fn refusal_probability(&mut self, tier: usize) -> f64 {
-        let (requests, accepts, failures) = self.accept_window.sums(self.now, tier);
-        ((requests + failures - THROTTLE_MULTIPLIER * accepts) / (requests + failures + 1.0)).max(0.0)
-    }
-
-    /// Draws whether a request of this tier is refused; the tier's minimum rate always passes.
-    fn should_throttle(&mut self, tier: usize) -> bool {
-        let probability = self.refusal_probability(tier);
-        let min_rate =
-            MIN_PASSES_PER_SERVER_SECOND * self.servers.len() as f64 / f64::from(self.cfg.gatekeepers);
-        let drawn_to_refuse = probability > 0.0 && self.rng.random::<f64>() < probability;
-        if drawn_to_refuse && self.now - self.last_passed_at[tier] < 1000.0 / min_rate {
-            return true;
-        }
-        self.last_passed_at[tier] = self.now;
-        false
-    }
-
     /// Sends the next attempt of a request to a server and records it.
     fn send_attempt(&mut self, id: u64, server: Name) {
         let Some(s) = self.servers.get(&server) else { return };
--- a/src/in_flight/tests.rs
+++ b/src/in_flight/tests.rs
@@ -12,6 +12,7 @@
         spread: 1,
         deadline: 0.0,
         is_retry: false,
+        source: 0,
     };
     RequestState {
         request,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //! gatekeeper.handle(0.0, Event::EndpointUpdate { kind: EndpointUpdateKind::Complete, servers: vec![server] });
 //! let actions = gatekeeper.handle(1.0, Event::Request(Request {
 //!     id: 1, customer: "acme".into(), class: 0, plan: 0, units: 1.0,
-//!     first: 0, spread: 1, deadline: 1000.0, is_retry: false,
+//!     first: 0, spread: 1, deadline: 1000.0, is_retry: false, source: 0,
 //! }));
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
 //! # Ok::<(), frostvale::SettingsError>(())
@@ -47,6 +47,7 @@
 mod server_index;
 mod server_state;
 mod slow_start;
+mod source_shares;
 mod state;
 mod tiers;
 mod zones;
--- a/tests/fair.rs
+++ b/tests/fair.rs
@@ -121,6 +121,7 @@
                 spread,
                 deadline,
                 is_retry: false,
+                source: 0,
             }
         };
         let (gatekeeper, event) = match scheduled {
--- a/tests/fenced_off.rs
+++ b/tests/fenced_off.rs
@@ -33,7 +33,7 @@
 fn request(id: u64) -> Request {
     let customer = "acme".into();
     let (class, plan, units, first, spread) = (0, 0, 1.0, 0, 3);
-    Request { id, customer, class, plan, units, first, spread, deadline: 1e6, is_retry: false }
+    Request { id, customer, class, plan, units, first, spread, deadline: 1e6, is_retry: false, source: 0 }
 }
 
 fn fence_off(includes_self: bool, others: Vec<u32>) -> Event {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -63,6 +63,7 @@
         spread: 2,
         deadline: now + 2000.0,
         is_retry: false,
+        source: 0,
     })
 }
 
--- a/tests/node/floods.rs
+++ b/tests/node/floods.rs
@@ -167,8 +167,10 @@
         let setup = Setup::new(discovery.at);
         let config = setup.config().replace("\"Target\":60000.0", "\"Target\":400.0");
         let node = start(&config, "exec");
+        let service_before = measure_other_clients(node.at, FLOOD_TIME);
+        assert_served_in_time("before the flood", &service_before);
         let flooders = Flooders::start(node.at, flood, FLOODERS);
-        let service = measure_other_clients(node.at, FLOOD_TIME);
+        let service = measure_other_clients(node.at, 2 * FLOOD_TIME);
         drop(flooders);
         assert_served_in_time(&format!("{flood:?}"), &service);
     }
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -107,6 +107,7 @@
             spread: 1,
             deadline: at + 1500.0,
             is_retry: false,
+            source: 0,
         };
         schedule(&mut events, at, Event::Request(request));
     }
