Test: messages to other gatekeepers beside a flood of requests

Change: a test of the module in which 5 requests a ms, of ever new customers that another gatekeeper owns, come for 3 s.

--- a/tests/module.rs
+++ b/tests/module.rs
@@ -717,6 +717,44 @@
     assert!((10..13).all(|id| is_sent(id, "acme", 2600.0)), "its tokens have refilled meanwhile");
 }
 
+/// Customers of plan 0 whose quota owner is the other one of two gatekeepers.
+fn customers_of_other_gatekeeper() -> impl Iterator<Item = String> {
+    (0..).map(|k| format!("customer-{k}")).filter(|name| quota_owner_of(name, 0, 2, 2) == 1)
+}
+
+#[test]
+fn peer_messages_keep_to_the_intake_rate_when_requests_flood_and_are_sent_soon_after() {
+    const FLOOD_MS: u32 = 3000;
+    const REQUESTS_PER_MS: usize = 5;
+    let mut gatekeeper = new_gatekeeper(Settings { gatekeepers: 2, ..settings() });
+    let mut customers = customers_of_other_gatekeeper();
+    let mut id = 0;
+    let mut send_request = |gatekeeper: &mut Control, customer: String, now: f64| {
+        id += 1;
+        let Event::Request(request) = request_event(id, 0, 0, now) else {
+            unreachable!("it makes a request")
+        };
+        let actions =
+            gatekeeper.handle(now, Event::Request(Request { customer: customer.into(), ..request }));
+        actions.iter().filter(|action| matches!(action, Action::SendPeerMessage { .. })).count()
+    };
+    let mut messages = 0;
+    for ms in 0..FLOOD_MS {
+        for customer in customers.by_ref().take(REQUESTS_PER_MS) {
+            messages += send_request(&mut gatekeeper, customer, f64::from(ms));
+        }
+    }
+    // The other gatekeeper takes in 50 a second; a second's worth may be sent ahead.
+    let intake = 50 * (1 + FLOOD_MS as usize / 1000);
+    assert!(messages <= intake, "{messages} messages of at most {intake}");
+    let later = customers.next().expect("there is always another one");
+    let after_flood: usize = (0..40)
+        .map(|k| f64::from(FLOOD_MS) + 1500.0 + 50.0 * f64::from(k))
+        .map(|now| send_request(&mut gatekeeper, later.clone(), now))
+        .sum();
+    assert!(after_flood > 0, "no message was sent for 3.5 s after the flood");
+}
+
 #[test]
 fn throttle_passes_all_while_nothing_fails_and_minimum_rate_when_everything_fails() {
     let mut gatekeeper = new_gatekeeper(settings());
