Messages to other gatekeepers stay within their intake also when they are full

Cause: Outbox::enqueue sent each message that was full at once, whatever the rate limit, and counted it as owed without a limit. Beside a flood of requests by ever new customers with another quota owner a gatekeeper sent 700 messages a second to one that takes in 50, so that those of others were lost there, and afterwards owed over 2,000 messages: nothing more was sent to any gatekeeper for 40 s. Class of bug: a limit that is counted but not held, and a debt without a bound.

Change: full messages may exceed the limit by what it allows in one second; beyond that they are dropped where they would be sent. Their requests are decided as if the message had been lost.

--- a/src/outbox.rs
+++ b/src/outbox.rs
@@ -23,6 +23,8 @@
     /// Messages that may be sent as of `send_tokens_at`; negative after messages that were full.
     send_tokens: f64,
     send_tokens_at: f64,
+    /// The rate limit at the last call of `next_message`, in messages per second.
+    rate: f64,
     /// Time of the wakeup last requested from the host. The host's timer event resets it.
     pub wakeup_at: Option<f64>,
 }
@@ -30,7 +32,8 @@
 impl Outbox {
     /// Adds an item, which expires at `until`, to the next message to a peer, which is then due at `due` at
     /// the latest. Returns the message collected so far, to be sent at once, if it has no space left after
-    /// expired items are removed.
+    /// expired items are removed. Full messages may exceed the rate limit by a second's worth in all; beyond
+    /// that they are dropped, as the peers would drop them, and with them those of other gatekeepers.
     pub fn enqueue(
         &mut self,
         now: f64,
@@ -45,8 +48,11 @@
         }
         let len: usize = items.iter().map(|(_, text)| text.len()).sum();
         if len + item.len() > MAX_MESSAGE_BYTES {
-            self.send_tokens -= 1.0;
             let full = std::mem::replace(items, vec![(expires_at, item)]);
+            if self.send_tokens < -self.rate {
+                return None;
+            }
+            self.send_tokens -= 1.0;
             return Some(full.into_iter().map(|(_, text)| text).collect());
         }
         items.push((expires_at, item));
@@ -69,6 +75,7 @@
                 return Some((to, full));
             }
         }
+        self.rate = rate;
         let max_tokens = (0.1 * rate).max(1.0);
         self.send_tokens = (self.send_tokens + rate * (now - self.send_tokens_at) / 1000.0).min(max_tokens);
         self.send_tokens_at = now;
