Tests: floods of datagrams and of discovery's lines at gatekeepers that share a core

Change: tests/node/other_inputs.rs: three gatekeepers on a core, each flooded with datagrams of a peer that ask for units of ever new customers, with datagrams of a stranger, and by discovery with empty lines, with changes of one server and with ever new servers. All answers to other clients have to come in time, nine in ten requests are to be served, and the memory limit holds.

--- a/tests/node/floods.rs
+++ b/tests/node/floods.rs
@@ -63,13 +63,6 @@
     }
 }
 
-/// The first core that this process may use.
-fn first_core() -> String {
-    let status = std::fs::read_to_string("/proc/self/status").expect("a running process");
-    let allowed = status.lines().find_map(|line| line.strip_prefix("Cpus_allowed_list:")).expect("a list");
-    allowed.trim().split(['-', ',']).next().expect("a core").into()
-}
-
 #[test]
 fn other_clients_are_served_in_time_when_clients_flood() {
     for flood in Flood::ALL {
--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -719,3 +719,10 @@
     let node = Setup::new(discovery.at).start();
     (worker, discovery, node)
 }
+
+/// The first core that this process may use.
+pub fn first_core() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").expect("a running process");
+    let allowed = status.lines().find_map(|line| line.strip_prefix("Cpus_allowed_list:")).expect("a list");
+    allowed.trim().split(['-', ',']).next().expect("a core").into()
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod large_updates;
 mod malformed;
 mod memory;
+mod other_inputs;
 mod pipelines;
 mod request_ids;
 mod settings;
