The number of servers is bounded by memory

Cause: each change that discovery sent of a server with a new name added it (Workers::apply, Control), without a limit: 89 MB in 2 s. Class of bug: state per name that the sender chooses, without a bound.

Change: a quarter of the memory limit bounds the servers, 2 KB each (24,576 with 192 MB; the largest fleets have 3,200). Lines of further servers are counted as refused, and logged with the list. Known servers are not affected.

--- a/src/bin/frostvale/gatekeeper/endpoints.rs
+++ b/src/bin/frostvale/gatekeeper/endpoints.rs
@@ -52,6 +52,10 @@
                 self.refused_lines += 1;
                 continue;
             };
+            if !gatekeeper.workers.has_room_for(&uid, self.named.len(), self.whole) {
+                self.refused_lines += 1;
+                continue;
+            }
             let differs = gatekeeper.workers.would_change(&uid, &state);
             // If a server is listed twice its last line applies, even if that one equals the known state.
             if differs || self.named.contains(&uid) {
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -23,6 +23,9 @@
 /// Buffer capacity that a connection may keep between replies.
 const RETAINED_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Estimated memory that one worker takes, here and in the decision module.
+const WORKER_BYTES: usize = 2048;
+
 /// Receives the events of connections to workers.
 pub trait ReplyHandler {
     /// Called for each reply. `bytes` is the buffer that `reply` refers to; `clean` is false if further bytes
@@ -228,13 +231,15 @@
     last_incarnation: u64,
     open_connections: Rc<Cell<usize>>,
     max_connections: usize,
+    max_workers: usize,
     read_budget: MemoryBudget,
 }
 
 impl Workers {
     /// Creates an empty table. `max_connections` limits the connections to all workers together,
-    /// `max_read_bytes` the memory for replies that have been read only in part.
-    pub fn new(max_connections: usize, max_read_bytes: usize) -> Workers {
+    /// `budget_bytes` the memory for replies that have been read only in part, and, as a second budget of
+    /// twice the size, that for the workers themselves.
+    pub fn new(max_connections: usize, budget_bytes: usize) -> Workers {
         Workers {
             by_name: HashMap::new(),
             by_address: HashMap::new(),
@@ -243,7 +248,8 @@
             last_incarnation: 0,
             open_connections: Rc::default(),
             max_connections,
-            read_budget: MemoryBudget::new(max_read_bytes),
+            max_workers: 2 * budget_bytes / WORKER_BYTES,
+            read_budget: MemoryBudget::new(budget_bytes),
         }
     }
 
@@ -257,6 +263,13 @@
         self.by_name.get(name)
     }
 
+    /// Whether a worker that an update names is known, or there is room for it. `named` is the number of other
+    /// workers that the update names, and `is_whole` tells whether it names all.
+    pub fn has_room_for(&self, name: &str, named: usize, is_whole: bool) -> bool {
+        let others = if is_whole { named } else { self.by_name.len() + named };
+        others < self.max_workers || self.by_name.contains_key(name)
+    }
+
     /// Whether this state differs from the known one. A start time earlier than the known one is no
     /// difference.
     pub fn would_change(&self, name: &str, state: &EndpointState) -> bool {
