Discovery and messages of peers share the event loop as clients do

Cause: of what discovery or a peer sent, as much was handled in one turn of the event loop as had arrived: all lines of a chunk, and 128 datagrams. With three flooded gatekeepers on a core other clients' answers took 25 ms beside datagrams and 112 ms beside empty lines of a watch (medians; 0.6 ms beside nothing). None was late; the same class as the floods of clients.

Change: each line of a watch and each datagram is paid for as a source's work (fair_share.rs), in a share of their own, so that discovery never waits behind clients. Of one peer at most PeerIntake messages a second are handled, the most that a gatekeeper takes in of all of them by the settings. One connection to discovery became a type, Session, in place of functions with five arguments, and its lines are taken one at a time.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -54,11 +54,15 @@
     /// Creates an empty table for `max_clients` connections. `memory` (bytes) limits what all connections
     /// together hold of incomplete commands, and, as a second budget of the same size, of answers that the
     /// clients have not read.
-    pub fn new(max_clients: usize, memory: usize, run_queue: Arc<RunQueue>) -> Rc<Clients> {
+    pub fn new(
+        max_clients: usize,
+        memory: usize,
+        run_queue: Arc<RunQueue>,
+        fair_share: &Rc<FairShare>,
+    ) -> Rc<Clients> {
         let (reading, unread) = (MemoryBudget::new(memory), MemoryBudget::new(memory));
         let initial_state = Cell::new(ConnectionState::Open);
         let (slot_freed, receive_times) = (Rc::default(), Rc::new(ReceiveTimes::open(run_queue)));
-        let fair_share = FairShare::new();
         let accepting = fair_share.add_source();
         Rc::new(Clients {
             all: RefCell::default(),
@@ -68,7 +72,7 @@
             reading,
             unread,
             receive_times,
-            fair_share,
+            fair_share: fair_share.clone(),
             accepting,
         })
     }
@@ -148,7 +152,7 @@
                     has_warned = false;
                     let started_at = Instant::now();
                     self.admit(stream, &gatekeeper);
-                    self.accepting.pay(started_at.elapsed()).await;
+                    self.accepting.pay_since(started_at).await;
                 }
                 // Most likely the descriptors have run out: makes room, and does not spin while there is
                 // none.
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -8,6 +8,7 @@
 mod call_clock;
 
 use crate::backoff::Backoff;
+use crate::fair_share::Source;
 use crate::gatekeeper::{Shared, apply_update};
 use call_clock::CallClock;
 use http_body_util::{BodyExt, Empty};
@@ -47,7 +48,15 @@
 
 /// Follows discovery for as long as the process lives. When its address changes, everything starts over:
 /// versions belong to one address, and responses of the old one that are still on their way are dropped.
-pub async fn follow(gatekeeper: Shared, mut at: watch::Receiver<SocketAddr>, mut backoff: Backoff) {
+///
+/// All of discovery's input is work of `source`.
+pub async fn follow(
+    gatekeeper: Shared,
+    mut at: watch::Receiver<SocketAddr>,
+    mut backoff: Backoff,
+    source: Source,
+) {
+    let source = Rc::new(source);
     loop {
         let address = *at.borrow_and_update();
         tokio::select! {
@@ -57,7 +66,7 @@
                     return;
                 }
             }
-            () = follow_address(&gatekeeper, address, &mut backoff) => {}
+            () = follow_address(&gatekeeper, address, &mut backoff, &source) => {}
         }
     }
 }
@@ -90,7 +99,12 @@
 }
 
 /// Follows discovery at one address and never returns.
-async fn follow_address(gatekeeper: &Shared, address: SocketAddr, backoff: &mut Backoff) {
+async fn follow_address(
+    gatekeeper: &Shared,
+    address: SocketAddr,
+    backoff: &mut Backoff,
+    source: &Rc<Source>,
+) {
     backoff.reset();
     let activity = Rc::new(SessionActivity::default());
     let mut sessions = JoinSet::new();
@@ -138,8 +152,14 @@
                 }
                 last_call += 1;
                 tracing::debug!(call = last_call, open = open.len(), "calling discovery");
-                let task = sessions
-                    .spawn_local(run_session(last_call, gatekeeper.clone(), address, activity.clone()));
+                let session = Session {
+                    number: last_call,
+                    address,
+                    gatekeeper: gatekeeper.clone(),
+                    activity: activity.clone(),
+                    source: source.clone(),
+                };
+                let task = sessions.spawn_local(session.run());
                 open.push((last_call, task));
                 clock.call_started(Instant::now());
             }
@@ -147,82 +167,85 @@
     }
 }
 
-/// Runs one connection until it ends. Returns its number, how long it lasted after its list, and why it
-/// ended.
-async fn run_session(
+/// One connection to discovery.
+struct Session {
+    /// Its number; later sessions have higher ones.
     number: u64,
-    gatekeeper: Shared,
     address: SocketAddr,
+    gatekeeper: Shared,
     activity: Rc<SessionActivity>,
-) -> (u64, Duration, String) {
-    let mut driver = JoinSet::new();
-    let (mut sender, rev) = match fetch(&gatekeeper, address, &mut driver, &activity).await {
-        Ok(fetched) => fetched,
-        Err(reason) => return (number, Duration::ZERO, reason),
-    };
-    let list_received_at = Instant::now();
-    activity.record_line(number);
-    let end = watch_changes(&gatekeeper, &mut sender, address, rev, (&activity, number)).await;
-    (number, list_received_at.elapsed(), end.err().unwrap_or_else(|| "the watch ended".to_string()))
+    source: Rc<Source>,
 }
 
-/// Watches for changes after version `rev` until the watch ends.
-async fn watch_changes(
-    gatekeeper: &Shared,
-    sender: &mut SendRequest<Empty<Bytes>>,
-    address: SocketAddr,
-    rev: u64,
-    (activity, session): (&SessionActivity, u64),
-) -> Result<(), String> {
-    let mut body = get(sender, address, &format!("/v1/servers?stream=1&index={rev}")).await?.into_body();
-    let mut lines = LineSplitter::default();
-    while let Some(frame) = body.frame().await {
-        let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
-        activity.record_bytes(data.len());
-        for line in lines.push(&data)? {
-            if !line.trim_ascii().is_empty() {
-                apply(gatekeeper, &line).await?;
+impl Session {
+    /// Runs the connection until it ends. Returns its number, how long it lasted after its list, and why it
+    /// ended.
+    async fn run(self) -> (u64, Duration, String) {
+        let mut driver = JoinSet::new();
+        let (mut sender, rev) = match self.fetch(&mut driver).await {
+            Ok(fetched) => fetched,
+            Err(reason) => return (self.number, Duration::ZERO, reason),
+        };
+        let list_received_at = Instant::now();
+        self.activity.record_line(self.number);
+        let end = self.watch_changes(&mut sender, rev).await;
+        let reason = end.err().unwrap_or_else(|| "the watch ended".to_string());
+        (self.number, list_received_at.elapsed(), reason)
+    }
+
+    /// Watches for changes after version `rev` until the watch ends.
+    async fn watch_changes(&self, sender: &mut SendRequest<Empty<Bytes>>, rev: u64) -> Result<(), String> {
+        let path = format!("/v1/servers?stream=1&index={rev}");
+        let mut body = get(sender, self.address, &path).await?.into_body();
+        let mut lines = LineSplitter::default();
+        while let Some(frame) = body.frame().await {
+            let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
+            self.activity.record_bytes(data.len());
+            let mut rest = &data[..];
+            let mut started_at = Instant::now();
+            while let Some(line) = lines.next_line(&mut rest)? {
+                if !line.trim_ascii().is_empty() {
+                    self.apply(&line).await?;
+                }
+                self.activity.record_line(self.number);
+                self.source.pay_since(started_at.into_std()).await;
+                started_at = Instant::now();
             }
-            activity.record_line(session);
         }
+        Ok(())
     }
-    Ok(())
-}
 
-/// Connects, fetches the whole list, applies it, and returns its version. The connection is driven by a task
-/// in `driver` and ends when `driver` is dropped.
-async fn fetch(
-    gatekeeper: &Shared,
-    address: SocketAddr,
-    driver: &mut JoinSet<()>,
-    activity: &SessionActivity,
-) -> Result<(SendRequest<Empty<Bytes>>, u64), String> {
-    let connect_error = |e: &dyn std::fmt::Display| format!("cannot connect: {e}");
-    let stream = TcpStream::connect(address).await.map_err(|e| connect_error(&e))?;
-    stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| connect_error(&e))?;
-    driver.spawn_local(async move {
-        // A failure of the connection also fails the call that waits on it.
-        let _ = connection.await;
-    });
-    let mut body = get(&mut sender, address, "/v1/servers").await?.into_body();
-    let mut text = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
-        activity.record_bytes(data.len());
-        text.extend_from_slice(&data);
-        if text.len() > MAX_LIST_BYTES {
-            return Err("the endpoint list is too long".into());
+    /// Connects, fetches the whole list, applies it, and returns its version. The connection is driven by a
+    /// task in `driver` and ends when `driver` is dropped.
+    async fn fetch(&self, driver: &mut JoinSet<()>) -> Result<(SendRequest<Empty<Bytes>>, u64), String> {
+        let connect_error = |e: &dyn std::fmt::Display| format!("cannot connect: {e}");
+        let stream = TcpStream::connect(self.address).await.map_err(|e| connect_error(&e))?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        let (mut sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|e| connect_error(&e))?;
+        driver.spawn_local(async move {
+            // A failure of the connection also fails the call that waits on it.
+            let _ = connection.await;
+        });
+        let mut body = get(&mut sender, self.address, "/v1/servers").await?.into_body();
+        let mut text = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
+            self.activity.record_bytes(data.len());
+            text.extend_from_slice(&data);
+            if text.len() > MAX_LIST_BYTES {
+                return Err("the endpoint list is too long".into());
+            }
         }
+        let rev = self.apply(&text).await?;
+        sender.ready().await.map_err(|e| format!("endpoint list: {e}"))?;
+        Ok((sender, rev))
     }
-    let rev = apply(gatekeeper, &text).await?;
-    sender.ready().await.map_err(|e| format!("endpoint list: {e}"))?;
-    Ok((sender, rev))
-}
 
-/// Applies one list, or the changes of one, and returns its version.
-async fn apply(gatekeeper: &Shared, text: &[u8]) -> Result<u64, String> {
-    apply_update(gatekeeper, text).await.map_err(|e| e.to_string())
+    /// Applies one list, or the changes of one, and returns its version.
+    async fn apply(&self, text: &[u8]) -> Result<u64, String> {
+        apply_update(&self.gatekeeper, text).await.map_err(|e| e.to_string())
+    }
 }
 
 /// Splits bytes that arrive in pieces into lines.
@@ -233,19 +256,17 @@
 }
 
 impl LineSplitter {
-    /// Adds a piece, and returns the lines that are complete by now with their line ends.
-    fn push(&mut self, data: &[u8]) -> Result<Vec<Vec<u8>>, String> {
-        let mut lines = Vec::new();
-        for piece in data.split_inclusive(|b| *b == b'\n') {
-            self.text.extend_from_slice(piece);
-            if self.text.len() > MAX_LIST_BYTES {
-                return Err("a line of the watch is too long".into());
-            }
-            if piece.ends_with(b"\n") {
-                lines.push(std::mem::take(&mut self.text));
-            }
+    /// Takes the next line, with its line end, from the piece that arrived; `None` where the rest of the piece
+    /// is no whole line.
+    fn next_line(&mut self, piece: &mut &[u8]) -> Result<Option<Vec<u8>>, String> {
+        let end = piece.iter().position(|b| *b == b'\n').map(|at| at + 1);
+        let (taken, rest) = piece.split_at(end.unwrap_or(piece.len()));
+        *piece = rest;
+        self.text.extend_from_slice(taken);
+        if self.text.len() > MAX_LIST_BYTES {
+            return Err("a line of the watch is too long".into());
         }
-        Ok(lines)
+        Ok(end.map(|_| std::mem::take(&mut self.text)))
     }
 }
 
--- a/src/bin/frostvale/discovery/tests.rs
+++ b/src/bin/frostvale/discovery/tests.rs
@@ -25,7 +25,11 @@
         let mut lines = LineSplitter::default();
         let mut seen = Vec::new();
         for piece in b"{\"a\":1}\n\n{}\nrest".chunks(size) {
-            seen.extend(lines.push(piece).expect("within the size limit"));
+            let mut rest = piece;
+            while let Some(line) = lines.next_line(&mut rest).expect("within the size limit") {
+                seen.push(line);
+            }
+            assert!(rest.is_empty());
         }
         assert_eq!(seen, [b"{\"a\":1}\n".to_vec(), b"\n".to_vec(), b"{}\n".to_vec()]);
         assert_eq!(lines.text, b"rest");
--- a/src/bin/frostvale/fair_share.rs
+++ b/src/bin/frostvale/fair_share.rs
@@ -131,8 +131,10 @@
         Slice::new(self, Instant::now(), permit)
     }
 
-    /// Counts work that is done already, and waits until this source could begin a slice.
-    pub async fn pay(&self, time: Duration) {
+    /// Counts work that has been done since `started_at`, and waits until this source could begin a slice. No
+    /// more than a whole allowance is counted, as the work of others may have come between.
+    pub async fn pay_since(&self, started_at: Instant) {
+        let time = started_at.elapsed().min(MAX_ALLOWANCE);
         self.begin().await.done_before.set(time);
     }
 }
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -29,6 +29,7 @@
 use applied_versions::ConfigDigests;
 use clients::Clients;
 use config::Config;
+use fair_share::FairShare;
 use frostvale_outside::OutsidePolicy;
 use gatekeeper::{Gatekeeper, Shared};
 use link::Links;
@@ -125,10 +126,13 @@
     let known = config.known.take();
     let platform = config.digest();
     let (discovery_changed, discovery) = watch::channel(config.discovery);
+    // Separate, so that discovery and peers never wait behind clients.
+    let (clients_share, inputs_share) = (FairShare::new(), FairShare::new());
     let clients = Clients::new(
         config.sockets * CLIENT_SOCKETS_PERCENT / 100,
         config.memory_budget(),
         run_queue.clone(),
+        &clients_share,
     );
     let max_worker_connections = config.sockets * WORKER_SOCKETS_PERCENT / 100;
     let gatekeeper =
@@ -178,9 +182,10 @@
     gatekeeper.borrow_mut().first_list = first_list.clone();
     if let Some(peers) = peers {
         let receiver = gatekeeper.clone();
-        spawn_local(
-            peers.listen(own_index, move |from, text| receiver.borrow_mut().receive_peer_message(from, text)),
-        );
+        let intake = gatekeeper.borrow().settings.peer_intake_per_second;
+        spawn_local(peers.listen(own_index, intake, inputs_share.add_source(), move |from, text| {
+            receiver.borrow_mut().receive_peer_message(from, text)
+        }));
     }
     spawn_local(Gatekeeper::keep_time(gatekeeper.clone()));
     spawn_local(clients.clone().run_timeout_checks());
@@ -194,7 +199,7 @@
     });
     // Several gatekeepers may have been given the same seed, so their index is mixed in.
     let backoff = backoff::Backoff::new(seed ^ u64::from(own_index) << 32);
-    spawn_local(discovery::follow(gatekeeper.clone(), discovery, backoff));
+    spawn_local(discovery::follow(gatekeeper.clone(), discovery, backoff, inputs_share.add_source()));
     let reloaded = gatekeeper.clone();
     let mut outside = local.outside;
     let (reporting, mut own) = (links.clone(), local.digest);
--- a/src/bin/frostvale/peers.rs
+++ b/src/bin/frostvale/peers.rs
@@ -1,8 +1,10 @@
 //! Messages between gatekeepers: one UDP socket, datagrams of at most 256 bytes.
 
+use crate::fair_share::Source;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::net::UdpSocket;
 
 /// The longest datagram, in bytes. A longer one makes the platform's run invalid, so none is sent or
@@ -51,10 +53,13 @@
         }
     }
 
-    /// The task that receives messages; `on_message` is called with the sender's number and the text.
-    pub async fn listen(self, own_index: u32, on_message: impl Fn(u32, &str)) {
+    /// The task that receives messages; `on_message` is called with the sender's number and the text. Of each
+    /// sender no more than `intake` messages per second are handled, the most that a gatekeeper takes in of all
+    /// of them, so that one that sends more does not delay those of others.
+    pub async fn listen(self, own_index: u32, intake: f64, source: Source, on_message: impl Fn(u32, &str)) {
         let indexed = self.addresses.iter().zip(0u32..);
         let index_of: HashMap<SocketAddr, u32> = indexed.map(|(address, k)| (*address, k)).collect();
+        let mut limits = vec![IntakeLimit::new(intake, Instant::now()); self.addresses.len()];
         let mut bytes = [0u8; MAX_MESSAGE_BYTES + 1];
         loop {
             // An error is an earlier message that could not be delivered, or a lasting one: the pause keeps
@@ -63,14 +68,45 @@
                 tokio::time::sleep(std::time::Duration::from_millis(1)).await;
                 continue;
             };
+            let received_at = Instant::now();
             // Only datagrams of other gatekeepers that may be a message are accepted.
-            let Some(from) =
-                index_of.get(&from).copied().filter(|k| *k != own_index && len <= MAX_MESSAGE_BYTES)
-            else {
-                continue;
-            };
-            let Ok(text) = std::str::from_utf8(&bytes[..len]) else { continue };
-            on_message(from, text);
+            let from = index_of.get(&from).copied().filter(|k| *k != own_index && len <= MAX_MESSAGE_BYTES);
+            if let Some(from) = from
+                && limits[from as usize].admit(received_at)
+                && let Ok(text) = std::str::from_utf8(&bytes[..len])
+            {
+                on_message(from, text);
+            }
+            source.pay_since(received_at).await;
         }
     }
 }
+
+/// Limits the messages of one sender: a second's intake at once, and the intake's rate after that.
+#[derive(Clone)]
+struct IntakeLimit {
+    rate: f64,
+    /// Messages that may be handled as of `refilled_at`.
+    tokens: f64,
+    refilled_at: Instant,
+}
+
+impl IntakeLimit {
+    fn new(rate: f64, now: Instant) -> IntakeLimit {
+        let rate = rate.max(1.0);
+        IntakeLimit { rate, tokens: rate, refilled_at: now }
+    }
+
+    /// Whether one more message is handled.
+    fn admit(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.tokens = (self.tokens + self.rate * elapsed).min(self.rate);
+        self.refilled_at = now;
+        let is_admitted = self.tokens >= 1.0;
+        self.tokens -= if is_admitted { 1.0 } else { 0.0 };
+        is_admitted
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/node/other_inputs.rs
+++ b/tests/node/other_inputs.rs
@@ -134,7 +134,8 @@
 
 #[test]
 fn other_clients_are_served_in_time_when_discovery_floods() {
-    let lines: [(&str, fn(u64) -> String); 3] = [
+    type Lines = fn(u64) -> String;
+    let lines: [(&str, Lines); 3] = [
         ("empty lines", |_| "\n".repeat(8000)),
         ("changes of one server", |version| {
             let at = "127.0.0.1:9".parse().expect("an address");
