Tests: new processes at the addresses of former ones

Change: tests/node/identity.rs: a server of another cell, or a later start, at a listed address: no repeat of a keyed request goes there, no resting connection is used for it, an unsafe request is not repeated. In the module: a quota owner's reply with the number of a waiting request, but for another customer or from another gatekeeper, as it comes when the reply to a former process of this gatekeeper arrives at the new one.

--- a/tests/module.rs
+++ b/tests/module.rs
@@ -755,6 +755,23 @@
     assert!(after_flood > 0, "no message was sent for 3.5 s after the flood");
 }
 
+/// Replies to a former process of this gatekeeper may still arrive, and its numbers may be those of this one.
+#[test]
+fn quota_reply_is_ignored_when_it_is_for_another_customer_or_from_another_gatekeeper() {
+    let owner = quota_owner_of("acme", 0, 2, 3);
+    let mut gatekeeper = new_gatekeeper(Settings { gatekeepers: 3, own_index: 1 - owner, ..settings() });
+    let actions = gatekeeper.handle(5000.0, request_event(1, 0, 1, 5000.0));
+    let quota_request = first_peer_message(&actions).expect("a quota request");
+    let fields: Vec<&str> = quota_request.split(',').collect();
+    let (key, number) = (fields[1], fields[3]);
+    let reply = |key: &str| format!("g,{key},1,{number},1.0,0.0,0.0,4.0;");
+    let mut is_sent_after =
+        |from, text| chosen_server(&gatekeeper.handle(5001.0, Event::PeerMessage { from, text })).is_some();
+    assert!(!is_sent_after(owner, reply("abcdef")), "another customer's grant was used");
+    assert!(!is_sent_after(2, reply(key)), "the grant of a gatekeeper that is not the owner was used");
+    assert!(is_sent_after(owner, reply(key)));
+}
+
 #[test]
 fn throttle_passes_all_while_nothing_fails_and_minimum_rate_when_everything_fails() {
     let mut gatekeeper = new_gatekeeper(settings());
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod flood_clients;
 mod floods;
 mod harness;
+mod identity;
 mod large_updates;
 mod malformed;
 mod memory;
