A quota owner's reply counts only for the customer and the owner that were asked

Cause: Control::on_quota_reply found the waiting request by its number alone. Numbers start anew with each process, at one of 65,536 places, so a reply to a former process of this gatekeeper could have the number of a request of the new one, and its grant let the request of another customer pass, or was set as the permit of one in flight. Class of bug: an identity that is not unique over restarts.

Change: the reply has to be for the request's customer and from its owner. A grant for another one is given back, as one that comes too late is.

--- a/src/control.rs
+++ b/src/control.rs
@@ -769,7 +769,13 @@
         if !self.quota_requests.is_new_reply(self.now, number, reply) {
             return;
         }
-        match (self.pending.remove(number), reply) {
+        // A reply to a former process of this gatekeeper may have the number of a request of this one.
+        let is_answered = |state: &RequestState| state.key == key && state.quota_owner == quota_owner;
+        let pending = match self.pending.get(number).is_some_and(is_answered) {
+            true => self.pending.remove(number),
+            false => None,
+        };
+        match (pending, reply) {
             (Some(state), QuotaReply::Grant) => {
                 self.release_unused_grant(key, quota_owner, units - state.request.units, None);
                 self.admit(RequestState { permit: Some(number), ..state });
@@ -786,7 +792,8 @@
             }
             // A late grant counts for the request if that was sent on without it; else it is given back.
             (None, QuotaReply::Grant) => {
-                if let Some(h) = self.in_flight.by_number(number).filter(|h| h.state.permit.is_none()) {
+                let in_flight = self.in_flight.by_number(number).filter(|h| is_answered(&h.state));
+                if let Some(h) = in_flight.filter(|h| h.state.permit.is_none()) {
                     h.state.permit = Some(number);
                 } else {
                     self.release_unused_grant(key, quota_owner, units, Some(number));
