A measurement of the CPU time for a request that compares builds in one run

Change: an ignored test, tests/node/cost.rs, that measures the builds named in FROSTVALE_PROGRAMS in turn.

--- a/tests/node/harness.rs
+++ b/tests/node/harness.rs
@@ -515,7 +515,12 @@
 
 /// Starts the process and waits until it serves.
 pub fn start(config: &str, shell: &str) -> Node {
-    let mut node = spawn(config, shell);
+    start_program(&program(), config, shell)
+}
+
+/// Starts a build of the gatekeeper and waits until it serves.
+pub fn start_program(program: &str, config: &str, shell: &str) -> Node {
+    let mut node = spawn_program(program, config, shell);
     node.at =
         node.wait_for_log(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
     node
@@ -529,11 +534,15 @@
 
 /// Starts the process without waiting until it serves.
 pub fn spawn(config: &str, shell: &str) -> Node {
+    spawn_program(&program(), config, shell)
+}
+
+fn spawn_program(program: &str, config: &str, shell: &str) -> Node {
     let path = write_config(config);
     let spawn_guard = PROBE_OR_SPAWN_LOCK.lock().expect("an unpoisoned lock");
     let mut child = Command::new("/bin/sh")
         .arg("-c")
-        .arg(format!("{shell} {}", program()))
+        .arg(format!("{shell} {program}"))
         .env("GW_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the built gatekeeper over loopback, with fake clients, workers and discovery.
 
 mod clients;
+mod cost;
 mod discovery;
 mod flood_clients;
 mod floods;
