The agent bounds the memory of calls that have arrived in part

Cause: the rate limit service limits one message (512 KB) and the calls of one connection (1,024), and nothing limited what all of them held; a call without its end stayed for as long as its connection. Class of bug: a limit for each, and none for all.

Change: call_memory.rs counts the bodies of all calls that are being read. A call, with the arrival of its message, may take 10 s.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 //! quotas. The agent may die at any instant without an effect on RESP2 requests.
 
 pub mod audit;
+mod call_memory;
 pub mod clock;
 pub mod config;
 pub mod council;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -1,5 +1,6 @@
 //! Listeners: the rate limit service with gRPC health and reflection, and the control socket.
 
+use crate::call_memory::CallMemory;
 use crate::config::{Config, Tls};
 use crate::council::{CouncilSeat, CouncilService};
 use crate::fleet::Fleet;
@@ -18,11 +19,16 @@
 use tokio_stream::wrappers::UnixListenerStream;
 use tonic::transport::server::TcpIncoming;
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
+use tower::util::MapRequestLayer;
 
 /// The longest call that is accepted: longer than the allowed number of descriptors and entries can fill.
 const MAX_CALL_BYTES: usize = 512 * 1024;
 /// Limit of concurrent calls on one connection.
 const MAX_STREAMS_PER_CONNECTION: u32 = 1024;
+/// Memory for calls on all connections whose messages have arrived in part.
+const MAX_INCOMPLETE_CALLS_BYTES: usize = 64 << 20;
+/// Time limit of a call, with the arrival of its message.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval of HTTP/2 keepalive pings on an idle connection. It is closed if the answer takes as long again.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -171,7 +177,10 @@
     if let Some(tls) = tls {
         server = server.tls_config(tls).map_err(|e| format!("rls.tls: {e}"))?;
     }
+    let call_memory = CallMemory::new(MAX_INCOMPLETE_CALLS_BYTES);
     server
+        .timeout(CALL_TIMEOUT)
+        .layer(MapRequestLayer::new(move |call| call_memory.count(call)))
         .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEPALIVE_INTERVAL))
