Busy connections and ids that come again are counted and logged

Change: the counts since the start now have connections that were among the busiest (clients_busy), how often commands waited for a turn (slices_queued), and requests under used ids (ids_used_again); a connection's end is logged at debug level with its number and its waits.

--- a/src/bin/frostvale/client.rs
+++ b/src/bin/frostvale/client.rs
@@ -84,6 +84,8 @@
     pub is_unread: bool,
     /// Number of answers that were replaced by an error for want of memory.
     pub discarded_answers: u64,
+    /// Number of times that its commands waited in the queue of the busiest connections.
+    pub queued_slices: u64,
 }
 
 /// A client's connection. The table in `clients` and the task that serves it share it.
@@ -231,7 +233,11 @@
 
     /// What there is to report once the connection is over.
     pub fn summary(&self) -> ConnectionSummary {
-        ConnectionSummary { is_unread: self.is_unread.get(), discarded_answers: self.discarded_answers.get() }
+        ConnectionSummary {
+            is_unread: self.is_unread.get(),
+            discarded_answers: self.discarded_answers.get(),
+            queued_slices: self.source.queued_slices(),
+        }
     }
 
     /// Whether no answer is pending or unwritten.
--- a/src/bin/frostvale/client/commands.rs
+++ b/src/bin/frostvale/client/commands.rs
@@ -4,7 +4,7 @@
 use super::{Client, ConnectionState, ExpectedCommand, RETAINED_BUFFER_BYTES};
 use crate::client_request::ClientRequest;
 use crate::fair_share::Slice;
-use crate::gatekeeper::Shared;
+use crate::gatekeeper::{ID_USED, Shared};
 use crate::resp::{self, Command, ProtocolError};
 use std::rc::Rc;
 use std::time::Instant;
@@ -103,7 +103,12 @@
                     self.answers.borrow_mut().push_pending(id);
                     gatekeeper.handle_request(id, request, self.clone());
                 }
-                Err(what) => self.respond(format!("-ERR {what}\r\n").as_bytes()),
+                Err(what) => {
+                    if what == ID_USED {
+                        gatekeeper.borrow_mut().metrics.id_used_again();
+                    }
+                    self.respond(format!("-ERR {what}\r\n").as_bytes());
+                }
             }
         } else if name.eq_ignore_ascii_case(b"PING") {
             let mut pong = Vec::new();
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -211,7 +211,9 @@
             for id in client.take_pending() {
                 gatekeeper.borrow_mut().client_disconnected(id);
             }
-            gatekeeper.borrow_mut().metrics.connection_ended(&client.summary());
+            let summary = client.summary();
+            tracing::debug!(connection = number, queued_slices = summary.queued_slices, "connection ended");
+            gatekeeper.borrow_mut().metrics.connection_ended(&summary);
             clients.all.borrow_mut().remove(&number);
             drop(client);
             clients.slot_freed.notify_one();
--- a/src/bin/frostvale/fair_share.rs
+++ b/src/bin/frostvale/fair_share.rs
@@ -56,7 +56,8 @@
     /// Adds a source.
     pub fn add_source(self: &Rc<FairShare>) -> Source {
         self.sources.set(self.sources.get() + 1);
-        Source { share: self.clone(), allowance: RefCell::new(Allowance::new(Instant::now())) }
+        let allowance = RefCell::new(Allowance::new(Instant::now()));
+        Source { share: self.clone(), allowance, queued_slices: Cell::new(0) }
     }
 
     /// The share of the elapsed time by which the allowance of each source refills.
@@ -106,9 +107,16 @@
 pub struct Source {
     share: Rc<FairShare>,
     allowance: RefCell<Allowance>,
+    /// Number of slices for which it waited in the queue.
+    queued_slices: Cell<u64>,
 }
 
 impl Source {
+    /// Number of slices for which it waited in the queue, as it was beyond its allowance.
+    pub fn queued_slices(&self) -> u64 {
+        self.queued_slices.get()
+    }
+
     /// Begins a slice at once, if the source is within its allowance.
     fn try_begin(&self) -> Option<Slice<'_>> {
         let now = Instant::now();
@@ -122,6 +130,7 @@
         if let Some(slice) = self.try_begin() {
             return slice;
         }
+        self.queued_slices.set(self.queued_slices.get() + 1);
         // The semaphore is never closed, so there always is a permit.
         let permit = self.share.queue.acquire().await.ok();
         let rest_until = self.share.rest_until.get();
--- a/src/bin/frostvale/gatekeeper.rs
+++ b/src/bin/frostvale/gatekeeper.rs
@@ -59,6 +59,8 @@
     }
 }
 
+/// Why a request is refused whose id was used by one that may have run.
+pub const ID_USED: &str = "this id was used already";
 /// Time reserved out of the client's wait, which starts when the client sends: the answer's way back and the
 /// delay on a busy core use it up.
 const RETURN_MARGIN_MS: f64 = 6.0;
@@ -237,7 +239,7 @@
             return Err("this id is open already");
         }
         if self.used_ids.contains(client_id) {
-            return Err("this id was used already");
+            return Err(ID_USED);
         }
         Ok(())
     }
--- a/src/bin/frostvale/metrics.rs
+++ b/src/bin/frostvale/metrics.rs
@@ -33,6 +33,11 @@
     /// error for want of memory.
     clients_unread: u64,
     answers_discarded: u64,
+    /// Connections that ended and were among the busiest, and how often their commands waited for a turn.
+    clients_busy: u64,
+    slices_queued: u64,
+    /// Requests refused because their ids had been used.
+    ids_used_again: u64,
     /// Requests that the decision module refused, by reason.
     refused: HashMap<RefusalReason, u64>,
 }
@@ -101,6 +106,13 @@
     pub fn connection_ended(&mut self, summary: &ConnectionSummary) {
         self.clients_unread += u64::from(summary.is_unread);
         self.answers_discarded += summary.discarded_answers;
+        self.clients_busy += u64::from(summary.queued_slices > 0);
+        self.slices_queued += summary.queued_slices;
+    }
+
+    /// Counts a request whose id had been used by a request that may have run.
+    pub fn id_used_again(&mut self) {
+        self.ids_used_again += 1;
     }
 
     /// Counts a request that was refused before the first list had arrived.
@@ -142,6 +154,9 @@
             refused_at_start = self.refused_at_start,
             clients_unread = self.clients_unread,
             answers_discarded = self.answers_discarded,
+            clients_busy = self.clients_busy,
+            slices_queued = self.slices_queued,
+            ids_used_again = self.ids_used_again,
             refused = %self.refusals(),
             "counts since the start"
         );
