A stopping gatekeeper waits for the first command on a new connection

Cause: from 0.5 s after SIGTERM on a connection with nothing in flight is closed at once, also one that was accepted a moment before.

Change: a connection without a command is read until the process rejects, 0.15 s later.

--- a/src/bin/frostvale/client/serving.rs
+++ b/src/bin/frostvale/client/serving.rs
@@ -84,7 +84,8 @@
                     if self.read_before_closing(&mut input)? {
                         continue;
                     }
-                    if input.bytes.is_empty() {
+                    // The first command on a connection that was just accepted may still be on its way.
+                    if input.bytes.is_empty() && self.has_sent_command() {
                         return Ok(());
                     }
                 }
