Commands that arrived in time are answered at a shutdown however long their turn takes

Cause: they are read 16 KB at a time and wait for their turn among the busiest connections, with a crowd for some 10 ms each; the limit of 0.5 s for them ran by the clock, not by when they had come.

Change: the limit is held against the time at which the last bytes had arrived.

--- a/src/bin/frostvale/client/serving.rs
+++ b/src/bin/frostvale/client/serving.rs
@@ -18,8 +18,8 @@
 /// Size of one read of bytes that are dropped or that the runtime has not announced.
 const CHUNK_BYTES: usize = 4096;
 
-/// How long commands are answered with `-BUSY` on a connection of a stopping process, once nothing is in
-/// flight on it, if they keep coming.
+/// Commands that arrive later than this, on a connection of a stopping process on which nothing has been in
+/// flight since, are no longer answered.
 const MAX_REJECTING_TIME: Duration = Duration::from_millis(500);
 
 /// What was read and not started yet.
@@ -91,7 +91,7 @@
                 }
                 ConnectionState::Rejecting if is_drained => {
                     let end = *rejecting_until.get_or_insert_with(|| Instant::now() + MAX_REJECTING_TIME);
-                    if Instant::now() > end || !self.read_before_closing(&mut input)? {
+                    if input.received_at > end || !self.read_before_closing(&mut input)? {
                         return Ok(());
                     }
                     continue;
